Share one engine and one tick state between agents

Cause: the agent for the platform runs other systems in the same loop. The loop moves from the agent to engine.Engine, timers and mailboxes to ticking.TickState; datagrams take the module of their messages. A clock that counts suspended time is new. No change of behaviour; tests of ownership, requests, datagrams and HTTP pass.

--- a/laburnumlatch/clock.py
+++ b/laburnumlatch/clock.py
@@ -22,6 +22,17 @@
         return time.monotonic_ns() // NS_PER_MS
 
 
+class BoottimeClock(Clock):
+    """A clock that also counts the time for which the host was suspended.
+
+    A lease that ends while the host sleeps has ended when it wakes up.
+    """
+
+    def now(self):
+        """Return milliseconds since the host was started."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and workloads."""
 
--- a/laburnumlatch/datagrams.py
+++ b/laburnumlatch/datagrams.py
@@ -20,15 +20,17 @@
 
 
 class Datagrams(frontends.FrontEnd):
-    """Sends and receives `leasemsg` messages on one address."""
+    """Sends and receives messages of fixed kinds on one address."""
 
-    kinds = (leasemsg.SendDatagram,)
+    def __init__(self, post, address, messages=leasemsg):
+        """Use the local UDP `address`, an `ip:port`.
 
-    def __init__(self, post, address):
-        """Use the local UDP `address`, an `ip:port`."""
+        `messages` is the module with the `KINDS` and `SendDatagram`.
+        """
         super().__init__(post)
         self._address = address
-        self._codec = wire.Codec(leasemsg.KINDS)
+        self._codec = wire.Codec(messages.KINDS)
+        self.kinds = (messages.SendDatagram,)
         self._socket = None
 
     async def start(self):
--- /dev/null
+++ b/laburnumlatch/engine.py
@@ -0,0 +1,59 @@
+"""The loop that joins front ends and systems: ticks when there is input."""
+
+import asyncio
+
+MS_PER_S = 1000
+
+
+class Engine:
+    """Runs ticks when a message has arrived or a due time is reached."""
+
+    def __init__(self, world, tick, time_source):
+        """Call `tick(world, now)`; `time_source` is a `clock.Clock`."""
+        self._loop = asyncio.get_running_loop()
+        self._clock = time_source
+        self._world = world
+        self._tick_world = tick
+        self._takers = {}
+        self._soon = None
+        self._later = None
+
+    def register(self, kind, carry_out):
+        """Give each outgoing message of the class `kind` to `carry_out`."""
+        self._takers[kind] = carry_out
+
+    def register_front_ends(self, front_ends):
+        """Give the messages of their kinds to these front ends."""
+        for front_end in front_ends:
+            for kind in front_end.kinds:
+                self.register(kind, front_end.carry_out)
+
+    def post(self, message):
+        """Hand a message to the systems and ask for a tick."""
+        self._world.inbox.post(message)
+        self.wake()
+
+    def wake(self):
+        """Ask for a tick as soon as the loop is free."""
+        if self._soon is None:
+            self._soon = self._loop.call_soon(self._tick)
+
+    def _tick(self):
+        self._soon = None
+        self._tick_world(self._world, self._clock.now())
+        for kind, carry_out in self._takers.items():
+            for message in self._world.outbox.take(kind):
+                carry_out(message)
+        self._schedule()
+
+    def _schedule(self):
+        if self._later is not None:
+            self._later.cancel()
+            self._later = None
+        due = self._world.next_wake
+        if due is not None:
+            delay_ms = max(0, due - self._clock.now())
+            self._later = self._loop.call_later(
+                delay_ms / MS_PER_S,
+                self.wake,
+            )
--- /dev/null
+++ b/laburnumlatch/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The router beside backend servers: key ranges, leases, requests."""
--- /dev/null
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -0,0 +1,93 @@
+"""Datagrams between agents and the planner, and between owners.
+
+All times are durations in ms. `term` numbers the holders of the planner role.
+"""
+
+import attrs
+
+from laburnumlatch.mesh import ranges
+
+
+@attrs.define(frozen=True)
+class Renew:
+    """A host asks the planner for its lease and reports on itself.
+
+    `cells` are (cell, work in ms) of the last report interval, for the cells
+    of the key space with work. `busy_ms` is all work, `slots` what may run.
+    `taken` are fences of pieces that the host holds now.
+    """
+
+    host_id: str
+    address: str
+    term: int
+    sequence: int
+    service: str
+    life: ranges.Life | None
+    slots: int
+    is_leaving: bool
+    has_store: bool
+    plan_version: int
+    busy_ms: int = 0
+    wait_ms: int = 0
+    cells: tuple[tuple[int, int], ...] = ()
+    taken: tuple[int, ...] = ()
+
+
+@attrs.define(frozen=True)
+class Lease:
+    """The planner's answer: the host may hold its pieces for `valid_ms`.
+
+    0 means that the planner may not issue leases now. `has_store` tells
+    whether the planner can write to the store.
+    """
+
+    holder: str
+    address: str
+    term: int
+    sequence: int
+    valid_ms: int
+    has_store: bool
+    plan_version: int = 0
+
+
+@attrs.define(frozen=True)
+class PlannerIs:
+    """Who holds the planner role, as far as the sender knows."""
+
+    holder: str
+    address: str
+    term: int
+
+
+@attrs.define(frozen=True)
+class HandedOver:
+    """The former owner has released a piece of the plan.
+
+    `handover` is the backend server's token, empty if there is none.
+    """
+
+    service: str
+    start: int
+    end: int
+    fence: int
+    handover: str
+
+
+@attrs.define(frozen=True)
+class HandoverReceived:
+    """The new owner knows that the piece has been released."""
+
+    service: str
+    start: int
+    fence: int
+
+
+@attrs.define(frozen=True)
+class SendDatagram:
+    """Send `message` to the agent at `address`, without any guarantee."""
+
+    address: str
+    message: Renew | Lease | PlannerIs | HandedOver | HandoverReceived
+
+
+KINDS = (Renew, Lease, PlannerIs, HandedOver, HandoverReceived)
--- /dev/null
+++ b/laburnumlatch/mesh/ranges.py
@@ -0,0 +1,114 @@
+"""Key ranges of a divided service: pure functions over a plan."""
+
+import bisect
+
+import attrs
+
+KEY_COUNT = 65_536
+
+
+@attrs.define(frozen=True)
+class Life:
+    """One run of a backend server: its identity and start, in ms of Unix time.
+
+    A backend server that starts again holds nothing of before, even under
+    the same identity.
+    """
+
+    server_id: str
+    born: int
+
+
+@attrs.define(frozen=True)
+class Piece:
+    """A range of keys and its owner: `start` to `end`, both inclusive.
+
+    `fence` rises with every change of owner. `former` is the host that has
+    to release the range first, or empty.
+    """
+
+    start: int
+    end: int
+    host_id: str
+    life: Life
+    fence: int
+    former: str = ''
+
+    def covers(self, key):
+        """Tell whether `key` lies in the range."""
+        return self.start <= key <= self.end
+
+
+@attrs.define(frozen=True)
+class Plan:
+    """The owners of all keys of a service: one row of the store.
+
+    `version` rises by one with each write, and is the fence of the pieces
+    that change owner with it. Pieces are in order and leave no gap.
+    """
+
+    service: str
+    version: int
+    pieces: tuple[Piece, ...]
+    _starts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
+
+    @_starts.default
+    def _collect_starts(self):
+        return tuple(piece.start for piece in self.pieces)
+
+    def piece_of(self, key):
+        """Return the piece that covers `key`."""
+        return self.pieces[bisect.bisect_right(self._starts, key) - 1]
+
+
+def overlap(first, second):
+    """Return the common (start, end) of two ranges, or None."""
+    start = max(first.start, second.start)
+    end = min(first.end, second.end)
+    return (start, end) if start <= end else None
+
+
+def join(pieces):
+    """Return the pieces with equal neighbours made one."""
+    joined = []
+    for piece in pieces:
+        if joined and _continues(joined[-1], piece):
+            joined[-1] = attrs.evolve(joined[-1], end=piece.end)
+        else:
+            joined.append(piece)
+    return tuple(joined)
+
+
+def split(pieces, cuts):
+    """Return the pieces, cut so that each key of `cuts` starts one."""
+    result = []
+    for piece in pieces:
+        inside = sorted({
+            cut for cut in cuts if piece.start < cut <= piece.end
+        })
+        starts = [piece.start, *inside]
+        ends = [*(cut - 1 for cut in inside), piece.end]
+        result.extend(
+            attrs.evolve(piece, start=start, end=end)
+            for start, end in zip(starts, ends, strict=True)
+        )
+    return tuple(result)
+
+
+def equal(owners, fence):
+    """Return pieces of equal width for `owners`, (host_id, life) pairs."""
+    count = len(owners)
+    cuts = [KEY_COUNT * number // count for number in range(count + 1)]
+    return tuple(
+        Piece(cuts[number], cuts[number + 1] - 1, host_id, life, fence)
+        for number, (host_id, life) in enumerate(owners)
+    )
+
+
+def _continues(first, second):
+    return (
+        first.host_id == second.host_id
+        and first.life == second.life
+        and first.fence == second.fence
+        and first.former == second.former
+    )
--- /dev/null
+++ b/laburnumlatch/mesh/rows.py
@@ -0,0 +1,137 @@
+"""Rows of the tables of one agent."""
+
+import enum
+
+import attrs
+
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import routes
+
+
+class HostState(enum.StrEnum):
+    """Life of a host and its backend server."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    LEFT = 'left'
+
+
+class RequestState(enum.StrEnum):
+    """Where a request stands in this agent.
+
+    `PARKED` requests are placed again at a due time.
+    """
+
+    PARKED = 'parked'
+    QUEUED = 'queued'
+    FORWARDED = 'forwarded'
+    RUNNING = 'running'
+
+
+@attrs.define(frozen=True)
+class HostRecord:
+    """What a host says of itself in its row of the store."""
+
+    host_id: str
+    service: str
+    domain: str
+    address: str
+    state: HostState
+    slots: int = 0
+    life: ranges.Life | None = None
+
+
+@attrs.define
+class Host:
+    """A host as this agent knows it.
+
+    `in_flight` counts this agent's own requests there; `wait_ms` is how long
+    a new request would wait, as last reported at `reported` and grown by own
+    requests since. `mean_ms` is a moving average of whole exchanges. Until
+    `avoid_until` the host is used only if no other is left.
+    """
+
+    record: HostRecord
+    version: int
+    in_flight: int = 0
+    wait_ms: float = 0
+    reported: int = 0
+    mean_ms: float = 0
+    avoid_until: int = 0
+    failures: int = 0
+
+    @property
+    def host_id(self):
+        """Identity of the host."""
+        return self.record.host_id
+
+
+@attrs.define
+class Backend:
+    """The backend server beside this agent.
+
+    `running` requests never exceed `slots`. `sequence` is that of the newest
+    announcement. After `closing_at` no request may reach it, None if it is
+    not leaving. `failed_since` is the time since which it has not answered.
+    """
+
+    life: ranges.Life
+    address: str
+    slots: int
+    sequence: int
+    joined: int
+    warm_at: int = 0
+    running: int = 0
+    closing_at: int | None = None
+    failed_since: int | None = None
+    failures: int = 0
+    resume_at: int = 0
+    heard: int = 0
+
+
+@attrs.define
+class Request:
+    """One request in this agent, from arrival to its end.
+
+    Times are of the agent's clock in ms. `exchange` numbers the attempts to
+    pass the request on; events of an older one are ignored. `sender` is the
+    host that forwarded it here, empty for a caller's own request. `sends`
+    counts exchanges in which a backend server may have got the request.
+    """
+
+    number: int
+    head: messages.Head
+    body: bytes
+    service: str
+    kind: routes.Kind
+    priority: int
+    attempts: int
+    arrived: int
+    deadline: int
+    target: int
+    sender: str = ''
+    sender_exchange: int = 0
+    route: str = ''
+    caller_deadline: int = 0
+    state: RequestState = RequestState.PARKED
+    host_id: str = ''
+    exchange: int = 0
+    started: int = 0
+    sends: int = 0
+    waits: int = 0
+    tried: list[str] = attrs.Factory(list)
+    last_reason: messages.Reason = messages.Reason.NO_HOST
+    is_detached: bool = False
+    is_repeat: bool = False
+    plan_version: int = 0
+
+    @property
+    def is_safe(self):
+        """Whether the request may run more than once."""
+        return self.kind == routes.Kind.SAFE
+
+    @property
+    def request_id(self):
+        """The caller's ID of the request."""
+        return self.head.request_id
--- /dev/null
+++ b/laburnumlatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform: translates its names, decides nothing."""
--- a/laburnumlatch/world.py
+++ b/laburnumlatch/world.py
@@ -8,14 +8,14 @@
 from laburnumlatch import choice
 from laburnumlatch import docrows
 from laburnumlatch import leaserows
-from laburnumlatch import mailbox
 from laburnumlatch import planrows
 from laburnumlatch import settings as settings_module
 from laburnumlatch import tables
+from laburnumlatch import ticking
 
 
-@attrs.define
-class World:
+@attrs.define(kw_only=True)
+class World(ticking.TickState):
     """Everything the systems read and write; nothing else holds state.
 
     `incarnation` holds slots and changes when the agent has lost its lease.
@@ -28,15 +28,12 @@
     started: int
     rng: random.Random
     policy: choice.Choice = attrs.Factory(choice.TwoChoice)
-    inbox: mailbox.Mailbox = attrs.Factory(mailbox.Mailbox)
-    outbox: mailbox.Mailbox = attrs.Factory(mailbox.Mailbox)
     documents: tables.Table = attrs.Factory(tables.Table)
     services: tables.Table = attrs.Factory(tables.Table)
     hosts: tables.Table = attrs.Factory(tables.Table)
     plans: tables.Table = attrs.Factory(tables.Table)
     servers: tables.Table = attrs.Factory(tables.Table)
     requests: tables.Table = attrs.Factory(tables.Table)
-    timers: tables.Table = attrs.Factory(tables.Table)
     records: tables.Table = attrs.Factory(tables.Table)
     dropped_epochs: tables.Table = attrs.Factory(tables.Table)
     kept_answers: collections.deque = attrs.Factory(collections.deque)
@@ -57,7 +54,6 @@
     placements: tables.DueQueue = attrs.Factory(tables.DueQueue)
     record_expiry: tables.DueQueue = attrs.Factory(tables.DueQueue)
     kept_answer_bytes: int = 0
-    now: int = 0
     slots: tables.Table = attrs.Factory(tables.Table)
     leases: tables.Table = attrs.Factory(tables.Table)
     promises: tables.Table = attrs.Factory(tables.Table)
@@ -69,34 +65,6 @@
     recoveries: tables.Table = attrs.Factory(tables.Table)
     standing: leaserows.Standing = attrs.Factory(leaserows.Standing)
     role: leaserows.Role = attrs.Factory(leaserows.Role)
-    _wake: int | None = None
-
-    @property
-    def next_wake(self):
-        """Time in ms at which a system asked for a tick, or None."""
-        return self._wake
-
-    def wake_at(self, due_ms):
-        """Ask for a tick at `due_ms` or earlier."""
-        if self._wake is None or due_ms < self._wake:
-            self._wake = due_ms
-
-    def begin_tick(self, now):
-        """Forget the wake-up time; systems set it anew in each tick."""
-        self.now = now
-        self._wake = None
-
-    def due(self, timer, interval_ms, now):
-        """Tell whether `timer` has come; if so it starts again.
-
-        A timer that is asked for the first time has come.
-        """
-        due_ms = self.timers.get(timer)
-        has_come = due_ms is None or now >= due_ms
-        if has_come:
-            due_ms = self.timers.put(timer, now + interval_ms)
-        self.wake_at(due_ms)
-        return has_come
 
     def local_server(self):
         """Return the row of the backend server beside this agent, or None."""
