--- a/laburnumlatch/docmsg.py
+++ b/laburnumlatch/docmsg.py
@@ -18,12 +18,34 @@
 
 @attrs.define(frozen=True)
 class StorePut:
-    """Write a row if its version is still `expected_version`; 0: none yet."""
+    """Write a row if its version is still `expected_version`; 0: none yet.
+
+    `guards` are (key, version) of other rows that must be as they were.
+    """
 
     ticket: str
     key: str
     body: bytes
     expected_version: int
+    guards: tuple[tuple[str, int], ...] = ()
+
+
+@attrs.define(frozen=True)
+class StoreRead:
+    """Read all rows of a table, a prefix that ends with a slash."""
+
+    ticket: str
+    table: str
+
+
+@attrs.define(frozen=True)
+class StoreWatch:
+    """Wait up to `wait_ms` for rows of a table newer than version `after`."""
+
+    ticket: str
+    table: str
+    after: int
+    wait_ms: int
 
 
 # Store: from the front end to systems.
@@ -46,6 +68,23 @@
     rows: tuple[StoreRow, ...]
 
 
+@attrs.define(frozen=True)
+class Changes:
+    """Rows of a table, and the store's version up to which they count."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
+
+
+@attrs.define(frozen=True)
+class StoreChanges:
+    """Answer to `StoreRead` and `StoreWatch`."""
+
+    ticket: str
+    rows: tuple[StoreRow, ...]
+    version: int
+
+
 @attrs.define(frozen=True)
 class StoreWritten:
     """The write took effect as `version`."""
--- a/laburnumlatch/errors.py
+++ b/laburnumlatch/errors.py
@@ -42,5 +42,9 @@
     """A compare-and-set met another version; nothing was written."""
 
 
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since the version asked for."""
+
+
 class NotFoundError(StoreError):
     """The store holds no row under this key."""
--- a/laburnumlatch/logs.py
+++ b/laburnumlatch/logs.py
@@ -15,10 +15,13 @@
     return logbook.Logger(part)
 
 
-def set_up(level):
-    """Send lines of `level` (debug, info, warning, error) to stderr."""
+def set_up(level, stream=None):
+    """Send lines of `level` (debug, info, warning, error) to a stream.
+
+    The stream is stderr if none is given.
+    """
     handler = logbook.StreamHandler(
-        sys.stderr,
+        stream or sys.stderr,
         level=logbook.lookup_level(level.upper()),
         format_string=FORMAT,
     )
--- /dev/null
+++ b/laburnumlatch/mesh/admission.py
@@ -0,0 +1,125 @@
+"""System: the queue for the local backend server, and early refusal.
+
+All work for the backend server passes here, so its count is exact.
+"""
+
+from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import rows
+
+DEFAULT_WORK_MS = 150.0
+WORK_WEIGHT = 0.1
+# A request must have this part of the usual time left when it starts.
+LATEST_START_RATE = 0.8
+DOWN_RETRY_MS = 800
+# The part of the expected wait after which a refused caller finds room.
+RETURN_RATE = 0.6
+
+
+def run(world, now):
+    """Refuse what waits and can no longer be served in time."""
+    backend = world.backend
+    for request in world.queue:
+        if backend is None or backend.failed_since is not None:
+            requests.refuse(
+                world, request, messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
+            )
+        elif is_closed(backend, now):
+            requests.refuse(world, request, messages.Reason.NOT_OWNER, 0)
+        elif now + work_ms(world, request.route) * LATEST_START_RATE > (
+            request.deadline
+        ):
+            requests.refuse(
+                world,
+                request,
+                messages.Reason.TOO_LATE,
+                expected_wait_ms(world, now) * RETURN_RATE,
+            )
+
+
+def is_closed(backend, now):
+    """Tell whether no request may reach a leaving backend server any more."""
+    return backend.closing_at is not None and now >= backend.closing_at
+
+
+def work_ms(world, route):
+    """Return the usual time of a request of a route here, in ms."""
+    known = world.work_times.get(route)
+    return DEFAULT_WORK_MS if known is None else known
+
+
+def learn(world, request, now):
+    """Learn how long the backend server took for a request."""
+    took_ms = max(1, now - request.started)
+    known = work_ms(world, request.route)
+    world.work_times.put(
+        request.route, known + WORK_WEIGHT * (took_ms - known)
+    )
+    world.report.busy_ms += took_ms
+    world.report.done += 1
+
+
+def expected_wait_ms(world, now, priority=None):
+    """Return how long a new request would wait here, in ms.
+
+    Only requests at least as urgent as `priority` count, None counts all.
+    """
+    backend = world.backend
+    if backend is None or not backend.slots:
+        return DOWN_RETRY_MS
+    ahead = [
+        work_ms(world, request.route)
+        for request in world.queue
+        if priority is None or request.priority <= priority
+    ]
+    if backend.running < backend.slots and not ahead:
+        return 0
+    mean_ms = _mean_work_ms(world)
+    # Running requests are half done on average.
+    running_ms = backend.running * mean_ms / 2
+    return int((sum(ahead) + running_ms) / backend.slots)
+
+
+def enter(world, request, now):
+    """Queue a request for the local backend server, or refuse it."""
+    backend = world.backend
+    if request.head.key is not None:
+        world.report.cells[balancing.cell_of(request.head.key)] += 1
+    if backend is None or backend.failed_since is not None:
+        requests.refuse(
+            world, request, messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
+        )
+        return
+    if is_closed(backend, now):
+        requests.refuse(world, request, messages.Reason.SERVER_DOWN, 0)
+        return
+    wait_ms = expected_wait_ms(world, now, request.priority)
+    if now + wait_ms + work_ms(world, request.route) > request.deadline:
+        requests.refuse(
+            world, request, messages.Reason.NO_ROOM, wait_ms * RETURN_RATE
+        )
+        return
+    request.state = rows.RequestState.QUEUED
+    request.host_id = world.host_id
+    world.queue.put(request.number, request)
+
+
+def in_order(world, now):
+    """Return the requests that may start now, the first to start first."""
+    is_divided = world.is_divided(world.settings.service)
+    ready = [
+        request
+        for request in world.queue
+        if not is_divided
+        or request.head.key is None
+        or holdings.may_start(world, request.head.key, now)
+    ]
+    ready.sort(key=lambda request: (request.priority, request.arrived))
+    return ready
+
+
+def _mean_work_ms(world):
+    means = [world.work_times.get(route) for route in world.work_times.keys()]
+    return sum(means) / len(means) if means else DEFAULT_WORK_MS
--- /dev/null
+++ b/laburnumlatch/mesh/configuring.py
@@ -0,0 +1,50 @@
+"""System: the configuration in force; a lower version never replaces it."""
+
+from laburnumlatch import docmsg
+from laburnumlatch import logs
+from laburnumlatch.mesh import messages
+
+TICKET = 'configuration/'
+READ_TICKET = 'configuration/read'
+WATCH_TICKET = 'configuration/watch'
+WATCH_MS = 28_000
+RETRY_MS = 300
+CALL_MS = 2000
+
+_log = logs.logger('configuration')
+
+
+def run(world, now):
+    """Follow the operator's configuration in the store."""
+    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        world.is_watching_configuration = False
+        world.timers.put(READ_TICKET, now + RETRY_MS)
+    for read in world.inbox.take(messages.ConfigurationRead):
+        _take(world, read)
+    if world.is_watching_configuration:
+        return
+    if world.due(READ_TICKET, CALL_MS, now):
+        world.outbox.post(messages.ReadConfiguration(READ_TICKET))
+
+
+def _take(world, read):
+    known = world.configuration
+    for configuration in read.configurations:
+        if known is None or configuration.version > known.version:
+            known = configuration
+    if known is not None and known is not world.configuration:
+        _log.info(
+            'configuration version={} routes={}',
+            known.version,
+            len(known.routes),
+        )
+        world.configuration = known
+        world.outbox.post(messages.LimitsChanged(known.limits))
+    if read.ticket == WATCH_TICKET or not world.is_watching_configuration:
+        world.is_watching_configuration = True
+        world.outbox.post(
+            messages.WatchConfiguration(
+                WATCH_TICKET, read.store_version, WATCH_MS
+            ),
+        )
--- /dev/null
+++ b/laburnumlatch/mesh/dispatch.py
@@ -0,0 +1,51 @@
+"""System: starts queued requests at the local backend server."""
+
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import rows
+
+# A backend server that has failed gets one request in this time.
+TRIAL_MS = 500
+
+
+def run(world, now):
+    """Fill the free slots of the backend server."""
+    backend = world.backend
+    if backend is None or not len(world.queue):
+        return
+    if world.configuration is None or admission.is_closed(backend, now):
+        return
+    free = backend.slots - backend.running
+    if free <= 0:
+        return
+    for request in admission.in_order(world, now)[:free]:
+        _start(world, request, backend, now)
+
+
+def _start(world, request, backend, now):
+    world.queue.pop(request.number)
+    request.state = rows.RequestState.RUNNING
+    request.exchange += 1
+    request.started = now
+    backend.running += 1
+    requests.decide(
+        request,
+        'start',
+        server=backend.life.server_id,
+        key=request.head.key,
+        waited_ms=now - request.arrived,
+        left_ms=request.deadline - now,
+    )
+    world.outbox.post(
+        messages.Send(
+            number=request.number,
+            exchange=request.exchange,
+            address=backend.address,
+            server_id=backend.life.server_id,
+            head=request.head,
+            body=request.body,
+            time_left_ms=request.deadline - now,
+            fresh_connection=not request.is_safe,
+        )
+    )
--- /dev/null
+++ b/laburnumlatch/mesh/holdings.py
@@ -0,0 +1,369 @@
+"""System: keys that the local backend server holds, by grants and releases.
+
+A piece of the plan is granted while this host's lease lasts and the former
+owner has let go of it. A piece that the plan gives away is released, and the
+backend server's token goes to the new owner.
+"""
+
+from laburnumlatch import logs
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
+
+# The backend server's clock may run 2 % slow, so it must be told less time
+# than the lease has left.
+HOLD_RATE = 0.96
+SLOW_CLOCK_RATE = 0.03
+MIN_HOLD_MS = 300
+# A grant is renewed when this part of its time has passed.
+RENEW_RATE = 0.3
+RETRY_MS = 200
+HANDOVER_REPEAT_MS = 150
+HANDOVER_KEPT_MS = 30_000
+# Work starts only if the grant lasts this long: it would end in an error.
+MIN_LEFT_MS = 100
+
+_log = logs.logger('holdings')
+
+
+def run(world, now):
+    """Grant, renew and release until the backend server holds its pieces."""
+    for granted in world.inbox.take(messages.GrantAnswered):
+        _granted(world, granted, now)
+    for taken in world.inbox.take(messages.TakenBack):
+        _taken_back(world, taken, now)
+    _handovers(world, now)
+    backend = world.backend
+    plan = world.plan_of(world.settings.service)
+    if plan is None or backend is None:
+        return
+    _drop_former_life(world, backend)
+    _shrink(world, plan, backend)
+    for piece in plan.pieces:
+        if _is_own(world, piece, backend) and _is_free(world, piece):
+            _extend(world, piece)
+        elif piece.former == world.host_id:
+            _let_go(world, piece, now)
+    _work(world, backend, now)
+
+
+def holding_of(world, key):
+    """Return the holding that covers `key`, or None."""
+    for holding in world.holdings:
+        if holding.covers(key):
+            return holding
+    return None
+
+
+def may_start(world, key, now):
+    """Tell whether work on `key` may start at the backend server now."""
+    holding = holding_of(world, key)
+    return (
+        holding is not None
+        and holding.state == leaserows.HoldingState.HELD
+        and now + MIN_LEFT_MS < holding.granted_until
+    )
+
+
+def grants_end(world, now):
+    """Return when grants at the backend server have ended for certain."""
+    ends = [now]
+    if now < world.started + leaserows.latest_end_ms():
+        # Grants of an earlier process on this host may live on.
+        ends.append(world.started + leaserows.latest_end_ms())
+    for holding in world.holdings:
+        ends.append(_certain_end(holding))
+    return max(ends)
+
+
+def _certain_end(holding):
+    return max(
+        holding.granted_until + int(holding.hold_ms * SLOW_CLOCK_RATE),
+        holding.ghost_until,
+    )
+
+
+def _is_own(world, piece, backend):
+    return piece.host_id == world.host_id and piece.life == backend.life
+
+
+def _is_free(world, piece):
+    return not piece.former or _received(world, piece) is not None
+
+
+def _received(world, piece):
+    return world.received.get((piece.start, piece.end, piece.fence))
+
+
+def _drop_former_life(world, backend):
+    for key in world.holdings.keys():
+        if world.holdings.get(key).life != backend.life:
+            world.holdings.pop(key)
+
+
+def _shrink(world, plan, backend):
+    """Split holdings along the plan, and release what is not this host's."""
+    for key in world.holdings.keys():
+        holding = world.holdings.get(key)
+        is_releasing = holding.state == leaserows.HoldingState.RELEASING
+        if is_releasing or holding.ticket:
+            # The answer to a grant that is under way must come first.
+            continue
+        parts = [
+            (piece, ranges.overlap(piece, holding))
+            for piece in plan.pieces
+            if ranges.overlap(piece, holding)
+        ]
+        wanted = [
+            part
+            for piece, part in parts
+            if _is_own(world, piece, backend) and piece.fence == holding.fence
+        ]
+        if wanted == [(holding.start, holding.end)]:
+            continue
+        world.holdings.pop(key)
+        for _piece, part in parts:
+            _put_part(world, holding, part, part in wanted)
+
+
+def _put_part(world, holding, part, is_wanted):
+    kept = leaserows.Holding(
+        service=holding.service,
+        start=part[0],
+        end=part[1],
+        fence=holding.fence,
+        life=holding.life,
+        state=holding.state,
+        hold_ms=holding.hold_ms,
+        granted_until=holding.granted_until,
+        ghost_until=holding.ghost_until,
+    )
+    if not is_wanted:
+        kept.state = leaserows.HoldingState.RELEASING
+    world.holdings.put((part[0], holding.fence), kept)
+
+
+def _extend(world, piece):
+    """Add holdings for the parts of a piece that have none yet."""
+    covered = sorted(
+        part
+        for holding in world.holdings
+        if (part := ranges.overlap(piece, holding))
+    )
+    start = piece.start
+    for part in (*covered, (piece.end + 1, piece.end + 1)):
+        if start < part[0]:
+            _add(world, piece, start, part[0] - 1)
+        start = max(start, part[1] + 1)
+
+
+def _add(world, piece, start, end):
+    world.holdings.put(
+        (start, piece.fence),
+        leaserows.Holding(
+            service=world.settings.service,
+            start=start,
+            end=end,
+            fence=piece.fence,
+            life=piece.life,
+            handover=_received(world, piece) or '',
+        ),
+    )
+
+
+def _let_go(world, piece, now):
+    """Hand a piece to its new owner once nothing of it is held here."""
+    if any(ranges.overlap(piece, holding) for holding in world.holdings):
+        return
+    key = (piece.start, piece.end, piece.fence)
+    handover = world.handovers.get(key)
+    if handover is None:
+        unsure_until = world.started + leaserows.latest_end_ms()
+        if now < unsure_until:
+            # An earlier process on this host may have granted the keys.
+            _release_unknown(world, piece, unsure_until)
+            return
+        handover = _new_handover(world, piece, '', now)
+    if handover.is_known or not world.due(
+        ('handover', key), HANDOVER_REPEAT_MS, now
+    ):
+        return
+    host = world.hosts.get(piece.host_id)
+    if host is None:
+        return
+    world.outbox.post(
+        leasemsg.SendDatagram(
+            host.record.address,
+            leasemsg.HandedOver(
+                world.settings.service,
+                piece.start,
+                piece.end,
+                piece.fence,
+                handover.token,
+                world.settings.peer_address,
+            ),
+        )
+    )
+
+
+def _new_handover(world, piece, token, now):
+    return world.handovers.put(
+        (piece.start, piece.end, piece.fence),
+        leaserows.Handover(token, now + HANDOVER_KEPT_MS),
+    )
+
+
+def _release_unknown(world, piece, until):
+    world.holdings.put(
+        (piece.start, piece.fence - 1),
+        leaserows.Holding(
+            service=world.settings.service,
+            start=piece.start,
+            end=piece.end,
+            fence=piece.fence - 1,
+            life=world.backend.life,
+            state=leaserows.HoldingState.RELEASING,
+            granted_until=until,
+        ),
+    )
+
+
+def _handovers(world, now):
+    for told in world.inbox.take(leasemsg.HandedOver):
+        if told.service == world.settings.service:
+            key = (told.start, told.end, told.fence)
+            world.received.put(key, told.handover)
+            known = leasemsg.HandoverReceived(told.start, told.end, told.fence)
+            world.outbox.post(leasemsg.SendDatagram(told.sender, known))
+    for known in world.inbox.take(leasemsg.HandoverReceived):
+        handover = world.handovers.get((known.start, known.end, known.fence))
+        if handover is not None:
+            handover.is_known = True
+    for key in world.handovers.keys():
+        if world.handovers.get(key).expires <= now:
+            world.handovers.pop(key)
+            world.timers.pop(('handover', key))
+    while len(world.received) > 200:
+        world.received.pop(world.received.keys()[0])
+
+
+def _work(world, backend, now):
+    """Send the grants and releases that are due."""
+    for holding in world.holdings:
+        if holding.state == leaserows.HoldingState.RELEASING:
+            _release(world, holding, backend, now)
+        elif now < world.lease.expires and backend.failed_since is None:
+            _grant(world, holding, backend, now)
+
+
+def _grant(world, holding, backend, now):
+    renew_at = holding.sent + int(holding.hold_ms * RENEW_RATE)
+    due = max(holding.retry_at, renew_at)
+    if holding.ticket:
+        return
+    if now < due:
+        world.wake_at(due)
+        return
+    left_ms = int((world.lease.expires - now) * HOLD_RATE)
+    hold_ms = min(left_ms, world.settings.bounds.max_hold_ms)
+    if hold_ms < MIN_HOLD_MS:
+        return
+    holding.ticket = world.next_ticket()
+    holding.sent = now
+    holding.hold_ms = hold_ms
+    world.outbox.post(
+        messages.GiveGrant(
+            ticket=holding.ticket,
+            address=backend.address,
+            start=holding.start,
+            end=holding.end,
+            fence=holding.fence,
+            hold_ms=hold_ms,
+            handover=holding.handover,
+        )
+    )
+
+
+def _granted(world, granted, now):
+    for holding in world.holdings:
+        if holding.ticket == granted.ticket:
+            break
+    else:
+        return
+    holding.ticket = 0
+    if granted.is_accepted:
+        if holding.state == leaserows.HoldingState.GRANTING:
+            _log.info(
+                'granted start={} end={} fence={} handover={}',
+                holding.start,
+                holding.end,
+                holding.fence,
+                bool(holding.handover),
+            )
+            holding.state = leaserows.HoldingState.HELD
+        holding.handover = ''
+        holding.granted_until = holding.sent + holding.hold_ms
+        return
+    holding.retry_at = now + RETRY_MS
+    if granted.is_accepted is None:
+        holding.ghost_until = now + int(
+            holding.hold_ms * leaserows.LATEST_END_RATE,
+        )
+    _log.warning(
+        'grant not accepted start={} end={} fence={} answered={}',
+        holding.start,
+        holding.end,
+        holding.fence,
+        granted.is_accepted is not None,
+    )
+
+
+def _release(world, holding, backend, now):
+    if holding.ticket:
+        return
+    if now < holding.retry_at:
+        world.wake_at(holding.retry_at)
+        return
+    holding.ticket = world.next_ticket()
+    world.outbox.post(
+        messages.TakeBack(
+            ticket=holding.ticket,
+            address=backend.address,
+            start=holding.start,
+            end=holding.end,
+            fence=holding.fence,
+        )
+    )
+
+
+def _taken_back(world, taken, now):
+    for key in world.holdings.keys():
+        holding = world.holdings.get(key)
+        if holding.ticket == taken.ticket:
+            break
+    else:
+        return
+    holding.ticket = 0
+    if taken.is_answered:
+        holding.granted_until = 0
+        holding.token = taken.handover or holding.token
+    end = _certain_end(holding)
+    if now < end:
+        # A grant without an answer may still take effect.
+        holding.retry_at = min(end, now + RETRY_MS)
+        if taken.is_answered:
+            holding.retry_at = end
+        return
+    world.holdings.pop(key)
+    _log.info(
+        'released start={} end={} fence={} handover={}',
+        holding.start,
+        holding.end,
+        holding.fence,
+        bool(holding.token),
+    )
+    plan = world.plan_of(holding.service)
+    for piece in plan.pieces:
+        if (piece.start, piece.end) == (holding.start, holding.end):
+            _new_handover(world, piece, holding.token, now)
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -12,8 +12,10 @@
 class Renew:
     """A host asks the planner for its lease and reports on itself.
 
-    `cells` are (cell, work in ms) of the last report interval, for the cells
-    of the key space with work. `busy_ms` is all work, `slots` what may run.
+    `cells` are (cell, requests) since the last renewal, for the cells
+    of the key space with arrivals. `busy_ms` is the time of the `done` requests
+    at the backend server, `slots` how many may run.
+    `grants_end_ms` is how long grants at the backend server may still last.
     `taken` are fences of pieces that the host holds now.
     """
 
@@ -28,7 +30,9 @@
     has_store: bool
     plan_version: int
     busy_ms: int = 0
+    done: int = 0
     wait_ms: int = 0
+    grants_end_ms: int = 0
     cells: tuple[tuple[int, int], ...] = ()
     taken: tuple[int, ...] = ()
 
@@ -61,7 +65,7 @@
 
 @attrs.define(frozen=True)
 class HandedOver:
-    """The former owner has released a piece of the plan.
+    """The former owner, at `sender`, has released a piece of the plan.
 
     `handover` is the backend server's token, empty if there is none.
     """
@@ -71,14 +75,15 @@
     end: int
     fence: int
     handover: str
+    sender: str
 
 
 @attrs.define(frozen=True)
 class HandoverReceived:
     """The new owner knows that the piece has been released."""
 
-    service: str
     start: int
+    end: int
     fence: int
 
 
--- /dev/null
+++ b/laburnumlatch/mesh/leaserows.py
@@ -0,0 +1,179 @@
+"""Rows of ownership: the planner role, leases, plans and holdings."""
+
+import collections
+import enum
+
+import attrs
+
+from laburnumlatch.mesh import ranges
+
+
+# A lost host's keys are given away after this time; a planner that has gone
+# must be replaced within it, or owners lose their keys.
+LEASE_MS = 4000
+# Clocks may differ by 2 % each way.
+LATEST_END_RATE = 1.04
+
+
+def latest_end_ms():
+    """Return how long a lease lasts at most by another host's clock."""
+    return int(LEASE_MS * LATEST_END_RATE)
+
+
+@attrs.define(frozen=True)
+class RoleRecord:
+    """The row of the store that names the planner."""
+
+    holder: str
+    address: str
+    term: int
+
+
+@attrs.define
+class Role:
+    """The planner role as this agent knows it; times in ms of its clock.
+
+    `row_version` is that of the row last read or written, `row_seen` when it
+    was first seen with that version. As the holder: `taken` is when this
+    agent took the role, `renewed` the time before its last renewal that took
+    effect, `majority_at` when a majority of the hosts had last spoken to it,
+    `majority_since` when one first had.
+    """
+
+    holder: str = ''
+    address: str = ''
+    term: int = 0
+    row_version: int | None = None
+    row_seen: int = 0
+    is_held: bool = False
+    is_first: bool = False
+    former_holder: str = ''
+    taken: int = 0
+    renewed: int = 0
+    majority_at: int = 0
+    majority_since: int | None = None
+    pending: str = ''
+    sent: int = 0
+    has_store: bool = True
+
+
+@attrs.define
+class OwnLease:
+    """This host's lease; `expires` in ms of its own clock.
+
+    `answered` is when the planner last answered, `sent` the times at which
+    recent renewals were sent, by sequence.
+    """
+
+    expires: int = 0
+    answered: int = 0
+    sequence: int = 0
+    sent: dict[int, int] = attrs.Factory(dict)
+    planner_has_store: bool = True
+
+
+@attrs.define
+class Lessee:
+    """A host as the planner knows it.
+
+    `expires` is when the last lease that this planner gave has ended for
+    certain, `heard` when the host last spoke under the present term,
+    `first_heard` when it first did.
+    """
+
+    host_id: str
+    address: str
+    service: str
+    expires: int = 0
+    heard: int = 0
+    first_heard: int | None = None
+    life: ranges.Life | None = None
+    slots: int = 0
+    is_leaving: bool = False
+    has_store: bool = True
+    plan_version: int = 0
+    wait_ms: int = 0
+    grants_end: int = 0
+    taken: frozenset[int] = frozenset()
+    reports: list = attrs.Factory(list)
+
+
+@attrs.define
+class PlanRow:
+    """The newest plan of a service that this agent knows.
+
+    `row_version` is the version of the store's row. `pending` tells that a
+    write of this agent has not been answered yet.
+    """
+
+    plan: ranges.Plan
+    row_version: int
+
+
+@attrs.define
+class CellLoads:
+    """Load of a service by cell of the key space, decayed; planner only.
+
+    `by_cell` holds requests per second, `mean_ms` the usual service time at
+    each host.
+    """
+
+    by_cell: dict[int, float] = attrs.Factory(dict)
+    mean_ms: dict[str, float] = attrs.Factory(dict)
+    decayed: int = 0
+
+
+class HoldingState(enum.StrEnum):
+    """Where a range of keys stands at the local backend server."""
+
+    GRANTING = 'granting'
+    HELD = 'held'
+    RELEASING = 'releasing'
+
+
+@attrs.define
+class Holding:
+    """A range of keys at the local backend server.
+
+    `granted_until` is when the last accepted grant ends, counted from before
+    it was sent; `ghost_until` when a grant without an answer has ended for
+    certain. `handover` is the token to pass with the first grant, `token` that
+    of a finished release.
+    """
+
+    service: str
+    start: int
+    end: int
+    fence: int
+    life: ranges.Life
+    handover: str = ''
+    token: str = ''
+    state: HoldingState = HoldingState.GRANTING
+    ticket: int = 0
+    sent: int = 0
+    hold_ms: int = 0
+    granted_until: int = 0
+    ghost_until: int = 0
+    retry_at: int = 0
+
+    def covers(self, key):
+        """Tell whether `key` lies in the range."""
+        return self.start <= key <= self.end
+
+
+@attrs.define
+class Handover:
+    """The token of a released range, kept until its new owner knows it."""
+
+    token: str
+    expires: int
+    is_known: bool = False
+
+
+@attrs.define
+class LoadReport:
+    """What this host reports to the planner at its next renewal."""
+
+    cells: collections.Counter = attrs.Factory(collections.Counter)
+    busy_ms: int = 0
+    done: int = 0
--- /dev/null
+++ b/laburnumlatch/mesh/leases.py
@@ -0,0 +1,176 @@
+"""System: leases of owners, asked for and given by datagrams."""
+
+from laburnumlatch import logs
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import members
+from laburnumlatch.mesh import role
+
+RENEW_MS = 400
+# Renewals that are not answered by then are forgotten.
+MAX_SENT = 16
+MAX_CELLS = 120
+
+_log = logs.logger('leases')
+
+
+def run(world, now):
+    """Ask for the own lease; as the planner, answer those who ask."""
+    for told in world.inbox.take(leasemsg.PlannerIs):
+        if role.adopt(world, told.holder, told.address, told.term, now):
+            world.timers.pop('leases/renew')
+    for lease in world.inbox.take(leasemsg.Lease):
+        _take(world, lease, now)
+    for renew in world.inbox.take(leasemsg.Renew):
+        _answer(world, renew, now)
+    if world.role.holder and world.due('leases/renew', RENEW_MS, now):
+        _renew(world, now)
+    if world.role.is_held:
+        _count_majority(world, now)
+
+
+def holds_lease(world, now):
+    """Tell whether this host may hold its pieces at `now`."""
+    return now < world.lease.expires
+
+
+def _renew(world, now):
+    lease = world.lease
+    lease.sequence += 1
+    lease.sent[lease.sequence] = now
+    while len(lease.sent) > MAX_SENT:
+        lease.sent.pop(min(lease.sent))
+    renew = _own_renew(world, now)
+    if world.role.is_held:
+        _answer(world, renew, now)
+    else:
+        world.outbox.post(leasemsg.SendDatagram(world.role.address, renew))
+
+
+def _own_renew(world, now):
+    own = world.settings
+    backend = world.backend
+    report = world.report
+    cells = report.cells.most_common(MAX_CELLS)
+    world.report = leaserows.LoadReport()
+    plan = world.plans.get(own.service)
+    is_usable = backend is not None and backend.failed_since is None
+    return leasemsg.Renew(
+        host_id=own.host_id,
+        address=own.peer_address,
+        term=world.role.term,
+        sequence=world.lease.sequence,
+        service=own.service,
+        life=backend.life if is_usable else None,
+        slots=backend.slots if is_usable else 0,
+        is_leaving=_is_leaving(world),
+        has_store=world.role.has_store and world.is_watching,
+        plan_version=0 if plan is None else plan.plan.version,
+        busy_ms=report.busy_ms,
+        done=report.done,
+        wait_ms=admission.expected_wait_ms(world, now),
+        grants_end_ms=max(0, holdings.grants_end(world, now) - now),
+        cells=tuple(cells),
+        taken=tuple(
+            holding.fence
+            for holding in world.holdings
+            if holding.state == leaserows.HoldingState.HELD
+        ),
+    )
+
+
+def _is_leaving(world):
+    backend = world.backend
+    is_closing = backend is not None and backend.closing_at is not None
+    return is_closing or world.stopping_since is not None
+
+
+def _take(world, lease, now):
+    role.adopt(world, lease.holder, lease.address, lease.term, now)
+    sent = world.lease.sent.get(lease.sequence)
+    if lease.term != world.role.term or sent is None:
+        return
+    world.lease.answered = now
+    world.lease.planner_has_store = lease.has_store
+    if lease.valid_ms:
+        world.lease.expires = max(world.lease.expires, sent + lease.valid_ms)
+
+
+def _answer(world, renew, now):
+    own_role = world.role
+    if not own_role.is_held:
+        _redirect(world, renew)
+        return
+    if renew.term > own_role.term:
+        # Another planner has taken the role; the row will say who.
+        _log.warning('term {} is newer than {}', renew.term, own_role.term)
+        own_role.renewed = 0
+        return
+    valid_ms = leaserows.LEASE_MS if role.may_lease(own_role, now) else 0
+    lessee = _lessee(world, renew, now)
+    if valid_ms:
+        lessee.expires = now + leaserows.latest_end_ms()
+    answer = leasemsg.Lease(
+        holder=own_role.holder,
+        address=own_role.address,
+        term=own_role.term,
+        sequence=renew.sequence,
+        valid_ms=valid_ms,
+        # A planner that stops lets another one take the role at once.
+        has_store=own_role.has_store and world.stopping_since is None,
+    )
+    if renew.host_id == world.host_id:
+        _take(world, answer, now)
+    else:
+        world.outbox.post(leasemsg.SendDatagram(renew.address, answer))
+
+
+def _redirect(world, renew):
+    known = world.role
+    if known.holder and renew.term < known.term:
+        told = leasemsg.PlannerIs(known.holder, known.address, known.term)
+        world.outbox.post(leasemsg.SendDatagram(renew.address, told))
+
+
+def _lessee(world, renew, now):
+    lessee = world.lessees.get(renew.host_id)
+    if lessee is None:
+        lessee = world.lessees.put(
+            renew.host_id,
+            leaserows.Lessee(renew.host_id, renew.address, renew.service),
+        )
+    if renew.term == world.role.term:
+        lessee.heard = now
+        if lessee.first_heard is None:
+            lessee.first_heard = now
+    lessee.address = renew.address
+    lessee.service = renew.service
+    lessee.life = renew.life
+    lessee.slots = renew.slots
+    lessee.is_leaving = renew.is_leaving
+    lessee.grants_end = now + int(renew.grants_end_ms * leaserows.LATEST_END_RATE)
+    lessee.has_store = renew.has_store
+    lessee.plan_version = renew.plan_version
+    lessee.wait_ms = renew.wait_ms
+    lessee.taken = frozenset(renew.taken)
+    lessee.reports.append(renew)
+    return lessee
+
+
+def _count_majority(world, now):
+    known = {host.host_id for host in members.live_hosts(world)}
+    known.add(world.host_id)
+    heard = [
+        lessee.heard
+        for lessee in world.lessees
+        if lessee.host_id in known and lessee.heard
+    ]
+    needed = len(known) // 2 + 1
+    if len(heard) < needed:
+        return
+    # The time at which a majority had been heard since.
+    world.role.majority_at = sorted(heard, reverse=True)[needed - 1]
+    if world.role.majority_since is None:
+        world.role.majority_since = now
--- /dev/null
+++ b/laburnumlatch/mesh/leaving.py
@@ -0,0 +1,34 @@
+"""System: the planned end of this process."""
+
+from laburnumlatch import logs
+from laburnumlatch.mesh import messages
+
+# Callers leave after two status checks a second apart; requests that they
+# send until then are served.
+SERVE_MS = 2500
+# The process must be gone before the platform ends it.
+MARGIN_MS = 600
+QUIET_MS = 300
+
+_log = logs.logger('leaving')
+
+
+def run(world, now):
+    """Serve on after the signal to stop, and say when all is done."""
+    for _told in world.inbox.take(messages.Stopping):
+        if world.stopping_since is None:
+            _log.info('stopping requests={}', len(world.requests))
+            world.stopping_since = now
+    since = world.stopping_since
+    if since is None:
+        return
+    last = since + world.settings.bounds.grace_ms - MARGIN_MS
+    if now >= last or (now >= since + SERVE_MS and _is_done(world)):
+        world.outbox.post(messages.Stopped())
+        return
+    world.wake_at(min(last, now + QUIET_MS))
+
+
+def _is_done(world):
+    own = any(holding.fence for holding in world.holdings)
+    return not len(world.requests) and not own
--- /dev/null
+++ b/laburnumlatch/mesh/members.py
@@ -0,0 +1,249 @@
+"""System: hosts and plans by the rows of the store, the own backend server."""
+
+from laburnumlatch import docmsg
+from laburnumlatch import errors
+from laburnumlatch import logs
+from laburnumlatch import wire
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import rows
+
+TABLE = 'mesh/'
+HOST_PREFIX = 'mesh/host/'
+PLAN_PREFIX = 'mesh/plan/'
+TICKET = 'members/'
+SCAN_TICKET = 'members/scan'
+WATCH_TICKET = 'members/watch'
+ROW_TICKET = 'members/row'
+WATCH_MS = 28_000
+# A refused or lost call to the store is repeated after this time.
+RETRY_MS = 400
+# A call to the store that is not answered by then is made again.
+CALL_MS = 2000
+# A backend server that lives announces itself well within this time.
+FIRST_ANNOUNCEMENT_MS = 3000
+# Work that is under way to a leaving backend server must reach it in time.
+DRAIN_MARGIN_MS = 400
+
+_log = logs.logger('members')
+
+
+def run(world, now):
+    """Follow the rows, take in announcements, keep the own row current."""
+    if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
+        world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+        _failed(world, failed, now)
+    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+        _changed(world, read)
+    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+        world.own_row_version = written.version
+        world.timers.pop(ROW_TICKET)
+    for _refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+        _rescan(world)
+    _announcements(world, now)
+    _close(world, now)
+    if world.has_members:
+        _write_own_row(world, now)
+
+
+def own_record(world):
+    """Return what this host's row of the store should say."""
+    backend = world.backend
+    state = rows.HostState.READY
+    if backend is None:
+        state = rows.HostState.LEFT
+    elif backend.closing_at is not None:
+        state = rows.HostState.DRAINING
+    own = world.settings
+    return rows.HostRecord(
+        host_id=own.host_id,
+        service=own.service,
+        domain=own.domain,
+        address=own.peer_address,
+        state=state,
+        slots=0 if backend is None else backend.slots,
+        life=None if backend is None else backend.life,
+    )
+
+
+def take_plan(world, plan, row_version):
+    """Keep `plan` if it is newer than what this agent knows."""
+    known = world.plans.get(plan.service)
+    if known is not None and known.row_version >= row_version:
+        return
+    world.plans.put(plan.service, leaserows.PlanRow(plan, row_version))
+    _log.info(
+        'plan service={} version={} pieces={}',
+        plan.service,
+        plan.version,
+        len(plan.pieces),
+    )
+
+
+def _rescan(world):
+    world.timers.pop(ROW_TICKET)
+    world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+
+
+def _failed(world, failed, now):
+    _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+    if failed.ticket == WATCH_TICKET:
+        # The history may be gone or changes lost, so all is read again.
+        world.is_watching = False
+        world.timers.put(SCAN_TICKET, now + RETRY_MS)
+        world.wake_at(now + RETRY_MS)
+    elif failed.ticket == ROW_TICKET:
+        world.timers.put(ROW_TICKET, now + RETRY_MS)
+        world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+
+
+def _changed(world, read):
+    if read.ticket == WATCH_TICKET or not world.is_watching:
+        world.is_watching = True
+        world.outbox.post(
+            docmsg.StoreWatch(WATCH_TICKET, TABLE, read.version, WATCH_MS),
+        )
+    if not world.has_members:
+        _log.info('members known version={}', read.version)
+    world.has_members = True
+    for row in read.rows:
+        try:
+            _take_row(world, row)
+        except errors.WireError as error:
+            _log.error('row {} ignored: {}', row.key, error)
+    world.members_version = max(world.members_version, read.version)
+
+
+def _take_row(world, row):
+    if row.key.startswith(PLAN_PREFIX):
+        take_plan(world, wire.unpack(row.body, ranges.Plan), row.version)
+    elif row.key.startswith(HOST_PREFIX):
+        _take_host(world, wire.unpack(row.body, rows.HostRecord), row.version)
+
+
+def _take_host(world, record, version):
+    if record.host_id == world.host_id:
+        world.own_row_version = max(world.own_row_version, version)
+    known = world.hosts.get(record.host_id)
+    if known is None:
+        world.hosts.put(record.host_id, rows.Host(record, version))
+    elif known.version < version:
+        if known.record != record:
+            _log.info(
+                'host={} state={} life={}',
+                record.host_id,
+                record.state,
+                record.life,
+            )
+        if known.record.life != record.life:
+            known.avoid_until = 0
+        known.record = record
+        known.version = version
+
+
+def _announcements(world, now):
+    for told in world.inbox.take(messages.BackendAnnounced):
+        is_accepted = _announced(world, told, now)
+        world.outbox.post(
+            messages.AnnouncementAnswered(told.ask, is_accepted),
+        )
+    for left in world.inbox.take(messages.BackendLeft):
+        backend = world.backend
+        is_accepted = (
+            backend is not None and backend.life.server_id == left.server_id
+        )
+        if is_accepted:
+            _begin_closing(world, now)
+        world.outbox.post(
+            messages.AnnouncementAnswered(left.ask, is_accepted=True),
+        )
+
+
+def _announced(world, told, now):
+    own = world.settings
+    is_own = told.service == own.service and told.address == own.backend_address
+    if not is_own:
+        _log.warning(
+            'announcement refused server={} service={} address={}',
+            told.life.server_id,
+            told.service,
+            told.address,
+        )
+        return False
+    backend = world.backend
+    if backend is not None and told.life.born < backend.life.born:
+        return True
+    if backend is None or backend.life != told.life:
+        _begin_life(world, told, now)
+        return True
+    if told.sequence <= backend.sequence:
+        return True
+    backend.sequence = told.sequence
+    backend.slots = told.slots
+    backend.heard = now
+    if told.is_draining:
+        _begin_closing(world, now)
+    return True
+
+
+def _begin_life(world, told, now):
+    running = 0 if world.backend is None else world.backend.running
+    world.backend = rows.Backend(
+        life=told.life,
+        address=told.address,
+        slots=told.slots,
+        sequence=told.sequence,
+        joined=now,
+        warm_at=now + told.cold_ms,
+        running=running,
+        heard=now,
+    )
+    _log.info('backend server={} born={}', told.life.server_id, told.life.born)
+    if told.is_draining:
+        _begin_closing(world, now)
+
+
+def _begin_closing(world, now):
+    if world.backend.closing_at is None:
+        drain_ms = world.settings.bounds.drain_ms
+        world.backend.closing_at = now + drain_ms - DRAIN_MARGIN_MS
+        _log.info('backend server={} leaves', world.backend.life.server_id)
+
+
+def _close(world, now):
+    backend = world.backend
+    if backend is not None and backend.closing_at is not None:
+        if now < backend.closing_at:
+            world.wake_at(backend.closing_at)
+
+
+def _write_own_row(world, now):
+    record = own_record(world)
+    known = world.hosts.get(world.host_id)
+    if known is not None and known.record == record:
+        return
+    if world.backend is None and now < world.started + FIRST_ANNOUNCEMENT_MS:
+        # The backend server may live on beside a restarted agent.
+        world.wake_at(world.started + FIRST_ANNOUNCEMENT_MS)
+        return
+    if not world.due(ROW_TICKET, CALL_MS, now):
+        return
+    world.outbox.post(
+        docmsg.StorePut(
+            ROW_TICKET,
+            f'{HOST_PREFIX}{world.host_id}',
+            wire.pack(record),
+            world.own_row_version,
+        )
+    )
+
+
+def live_hosts(world):
+    """Return the hosts whose rows do not say that they have left."""
+    return [
+        host
+        for host in world.hosts
+        if host.record.state != rows.HostState.LEFT
+    ]
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -191,8 +191,8 @@
     priority: int
     time_left_ms: int
     target_ms: int
+    route: str = ''
     plan_version: int = 0
-    is_repeat: bool = False
 
 
 @attrs.define(frozen=True)
@@ -338,11 +338,29 @@
 # Configuration.
 
 
+@attrs.define(frozen=True)
+class ReadConfiguration:
+    """Read the configuration that the operator accepted last."""
+
+    ticket: str
+
+
+@attrs.define(frozen=True)
+class WatchConfiguration:
+    """Wait up to `wait_ms` for a configuration newer than a store version."""
+
+    ticket: str
+    after: int
+    wait_ms: int
+
+
 @attrs.define(frozen=True)
 class ConfigurationRead:
-    """A configuration that the operator accepted."""
+    """Accepted configurations, in order; none if nothing has changed."""
 
-    configuration: routes.Configuration
+    ticket: str
+    configurations: tuple[routes.Configuration, ...]
+    store_version: int
 
 
 @attrs.define(frozen=True)
--- /dev/null
+++ b/laburnumlatch/mesh/outcomes.py
@@ -0,0 +1,185 @@
+"""System: answers and failures of exchanges, and repeats of safe requests."""
+
+from laburnumlatch import logs
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import placement
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import retrybudget
+from laburnumlatch.mesh import rows
+
+# So many exchanges in a row without any answer mean that the backend server
+# is down; it is tried again after `TRIAL_MS`.
+DOWN_FAILURES = 2
+TRIAL_MS = 500
+AVOID_MS = 1000
+# An agent that could not be reached is likely to be starting again.
+UNREACHABLE_RETRY_MS = 600
+# Less time than this is not worth another try.
+MIN_REPEAT_MS = 120
+MEAN_WEIGHT = 0.1
+
+_log = logs.logger('outcomes')
+
+
+def run(world, now):
+    """Deliver answers, and decide what follows from failures."""
+    _retry_backend(world, now)
+    for ended in world.inbox.take(messages.ExchangeEnded):
+        request = _current(world, ended)
+        if request is not None:
+            _ended(world, request, ended, now)
+    for failed in world.inbox.take(messages.ExchangeFailed):
+        request = _current(world, failed)
+        if request is not None:
+            _failed(world, request, failed, now)
+
+
+def _current(world, event):
+    request = world.requests.get(event.number)
+    if request is None or request.exchange != event.exchange:
+        return None
+    return request
+
+
+def _ended(world, request, ended, now):
+    if request.state == rows.RequestState.RUNNING:
+        admission.learn(world, request, now)
+        world.backend.failures = 0
+        world.backend.failed_since = None
+    else:
+        _heard(world, request.host_id, ended.wait_ms, now)
+    requests.deliver(world, request, ended.answer)
+
+
+def _failed(world, request, failed, now):
+    is_local = request.state == rows.RequestState.RUNNING
+    requests.decide(
+        request,
+        'exchange failed',
+        host=request.host_id,
+        phase=failed.phase,
+        reason=failed.reason,
+        verdict=failed.verdict or '-',
+        detail=failed.detail or '-',
+    )
+    if failed.phase != messages.Phase.UNSENT and failed.verdict is None:
+        request.sends += 1
+    if not _has_not_run(failed):
+        request.may_have_run = True
+    if is_local:
+        _count_failure(world, request, failed, now)
+    else:
+        _note_host(world, request, failed, now)
+    if request.is_detached:
+        requests.drop(world, request)
+    elif _has_not_run(failed):
+        _place_elsewhere(world, request, failed, now)
+    else:
+        _repeat(world, request, failed, now)
+
+
+def _has_not_run(failed):
+    if failed.verdict is not None:
+        return failed.verdict == messages.Verdict.NOT_RUN
+    return failed.phase != messages.Phase.SENT
+
+
+def _count_failure(world, request, failed, now):
+    backend = world.backend
+    if failed.phase == messages.Phase.REFUSED:
+        return
+    took_ms = now - request.started
+    if failed.phase == messages.Phase.SENT and took_ms > TRIAL_MS:
+        # A request that took too long says little about the others.
+        return
+    backend.failures += 1
+    if backend.failures >= DOWN_FAILURES and backend.failed_since is None:
+        backend.failed_since = now
+        backend.resume_at = now + TRIAL_MS
+        _log.warning(
+            'backend server={} does not answer', backend.life.server_id
+        )
+
+
+def _retry_backend(world, now):
+    """Let a backend server that failed have work again after a while."""
+    backend = world.backend
+    if backend is None or backend.failed_since is None:
+        return
+    if now < backend.resume_at:
+        world.wake_at(backend.resume_at)
+    elif backend.heard > backend.failed_since:
+        backend.failed_since = None
+        backend.failures = DOWN_FAILURES - 1
+        _log.info('backend server={} is tried again', backend.life.server_id)
+
+
+def _note_host(world, request, failed, now):
+    host = world.hosts.get(request.host_id)
+    if host is None:
+        return
+    if failed.verdict is None:
+        host.failures += 1
+        host.avoid_until = now + AVOID_MS
+    else:
+        _heard(world, request.host_id, failed.wait_ms, now)
+        if failed.reason in {
+            messages.Reason.SERVER_DOWN,
+            messages.Reason.SHED,
+        }:
+            host.avoid_until = now + AVOID_MS // 2
+
+
+def _heard(world, host_id, wait_ms, now):
+    host = world.hosts.get(host_id)
+    if host is not None and wait_ms is not None:
+        host.wait_ms = wait_ms
+        host.reported = now
+        host.failures = 0
+
+
+def _place_elsewhere(world, request, failed, now):
+    """Place a request that has not run, or refuse it."""
+    requests.release(world, request)
+    request.tried.append(request.host_id)
+    retry_after_ms = failed.retry_after_ms or UNREACHABLE_RETRY_MS
+    if request.sender:
+        requests.refuse(world, request, failed.reason, retry_after_ms)
+    elif failed.reason == messages.Reason.NOT_OWNER:
+        requests.park(world, request, failed.reason)
+    elif _may_place(world, request, failed, now):
+        placement.place(world, request, now)
+    else:
+        requests.refuse(world, request, failed.reason, retry_after_ms)
+
+
+def _may_place(world, request, failed, now):
+    if world.is_divided(request.service):
+        return False
+    if not placement.has_untried_host(world, request, now):
+        return False
+    if failed.verdict is not None or failed.phase == messages.Phase.UNSENT:
+        # No backend server has got it.
+        return True
+    return request.sends < request.attempts and retrybudget.take(
+        world, request.service, now
+    )
+
+
+def _repeat(world, request, failed, now):
+    """Send a safe request once more, or say that its outcome is unknown."""
+    requests.release(world, request)
+    request.tried.append(request.host_id)
+    verdict = failed.verdict or messages.Verdict.UNKNOWN
+    is_allowed = (
+        request.is_safe
+        and not request.sender
+        and verdict == messages.Verdict.UNKNOWN
+        and len(request.tried) < request.attempts
+        and now + MIN_REPEAT_MS < request.deadline
+    )
+    if is_allowed and retrybudget.take(world, request.service, now):
+        placement.place(world, request, now)
+        return
+    requests.end(world, request, verdict, failed.reason)
--- /dev/null
+++ b/laburnumlatch/mesh/peerlink.py
@@ -0,0 +1,307 @@
+"""Front end to other agents: requests and answers over kept connections."""
+
+import asyncio
+
+from laburnumlatch import frontends
+from laburnumlatch import logs
+from laburnumlatch import settings
+from laburnumlatch.mesh import frames
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import peermsg
+
+MS_PER_S = 1000
+CONNECT_TIMEOUT_MS = 500
+# A connection on which answers are due is asked for a sign after the first
+# time without a byte, and given up after the second.
+PING_MS = 250
+SILENT_MS = 800
+CHECK_MS = 100
+BACKLOG = 512
+
+_log = logs.logger('peers')
+
+
+class PeerLink(frontends.FrontEnd):
+    """Asks other agents and answers them."""
+
+    kinds = (
+        messages.SendForward,
+        messages.CancelForward,
+        messages.ReplyAnswer,
+        messages.ReplyRefusal,
+    )
+
+    def __init__(self, post, address, host_id, numbers, time_source):
+        """Listen at `address`; `numbers` counts the requests of the agent."""
+        super().__init__(post)
+        self._address = address
+        self._clock = time_source
+        self._numbers = numbers
+        self._host_id = host_id
+        self._server = None
+        self._dialed = {}
+        self._asked = {}
+        self._checks = None
+
+    async def start(self):
+        """Listen; raise OSError if the address cannot be had."""
+        loop = asyncio.get_running_loop()
+        ip_text, port = settings.split_address(self._address)
+        self._server = await loop.create_server(
+            lambda: _Inbound(self),
+            ip_text,
+            port,
+            backlog=BACKLOG,
+        )
+        self._check_later()
+
+    async def stop(self):
+        """Close all connections."""
+        self._checks.cancel()
+        self._server.close()
+        for outbound in tuple(self._dialed.values()):
+            outbound.close()
+
+    def carry_out(self, message):
+        """Send a request, a cancellation or a reply."""
+        if isinstance(message, messages.SendForward):
+            self._forward(message)
+        elif isinstance(message, messages.CancelForward):
+            outbound = self._dialed.get(message.host_id)
+            if outbound is not None:
+                outbound.cancel(message.number, message.exchange)
+        else:
+            self._reply(message)
+
+    def now(self):
+        """Return the time in ms."""
+        return self._clock.now()
+
+    def post(self, message):
+        """Hand a message to the systems."""
+        self._post(message)
+
+    def hello(self):
+        """Return the first frame of a connection."""
+        return peermsg.Hello(self._host_id)
+
+    def asked(self, inbound, forward):
+        """Take in a request of another agent."""
+        number = next(self._numbers)
+        self._asked[number] = (inbound, forward.number, forward.exchange)
+        inbound.open[forward.number, forward.exchange] = number
+        self._post(messages.ForwardArrived(number, inbound.host_id, forward))
+
+    def canceled(self, number):
+        """Forget a request that nobody waits for."""
+        if self._asked.pop(number, None) is not None:
+            self._post(messages.ForwardCanceled(number))
+
+    def lost(self, host_id, outbound):
+        """Forget a connection that has ended."""
+        if self._dialed.get(host_id) is outbound:
+            self._dialed.pop(host_id)
+
+    def _forward(self, message):
+        outbound = self._dialed.get(message.host_id)
+        if outbound is None or outbound.address != message.address:
+            outbound = _Outbound(self, message.host_id, message.address)
+            self._dialed[message.host_id] = outbound
+            outbound.dial()
+        outbound.ask(message.forward)
+
+    def _reply(self, message):
+        inbound, number, exchange = self._asked.pop(
+            message.number, (None, 0, 0)
+        )
+        if inbound is None or inbound.transport.is_closing():
+            _log.info('reply number={} has no connection', message.number)
+            return
+        inbound.open.pop((number, exchange), None)
+        if isinstance(message, messages.ReplyAnswer):
+            inbound.send(
+                peermsg.Answered(
+                    number, exchange, message.answer, message.wait_ms
+                )
+            )
+            return
+        inbound.send(
+            peermsg.Refused(
+                number,
+                exchange,
+                message.verdict,
+                message.reason,
+                message.retry_after_ms,
+                message.wait_ms,
+            )
+        )
+
+    def _check_later(self):
+        self._checks = asyncio.get_running_loop().call_later(
+            CHECK_MS / MS_PER_S, self._check
+        )
+
+    def _check(self):
+        for outbound in tuple(self._dialed.values()):
+            outbound.check()
+        self._check_later()
+
+
+class _Outbound(frames.FrameProtocol):
+    """A connection on which this agent asks another one."""
+
+    def __init__(self, link, host_id, address):
+        super().__init__()
+        self.address = address
+        self._link = link
+        self._host_id = host_id
+        self._waiting = []
+        self._open = {}
+        self._heard = 0
+        self._pinged = 0
+        self._dialing = None
+
+    def dial(self):
+        """Begin to connect."""
+        self._dialing = asyncio.ensure_future(self._connect())
+
+    def close(self):
+        """Close without waiting for answers."""
+        if self._dialing is not None:
+            self._dialing.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def ask(self, forward):
+        """Send a request now, or when the connection is there."""
+        if self.transport is None:
+            self._waiting.append(forward)
+            return
+        if not self._open:
+            self._heard = self._link.now()
+        self._open[forward.number, forward.exchange] = forward
+        self.send(peermsg.Ask(forward))
+
+    def cancel(self, number, exchange):
+        """Say that nobody waits for this answer."""
+        self._waiting = [
+            forward
+            for forward in self._waiting
+            if (forward.number, forward.exchange) != (number, exchange)
+        ]
+        if self._open.pop((number, exchange), None) is not None:
+            self.send(peermsg.Cancel(number, exchange))
+
+    def check(self):
+        """Ping a silent connection, and give up one that stays silent."""
+        if self.transport is None or not self._open:
+            return
+        silent_ms = self._link.now() - max(self._heard, 0)
+        if silent_ms >= SILENT_MS:
+            _log.warning('connection to {} is silent', self._host_id)
+            self.transport.abort()
+        elif silent_ms >= PING_MS and self._pinged < self._heard + PING_MS:
+            self._pinged = self._link.now()
+            self.send(peermsg.Ping())
+
+    def connection_made(self, transport):
+        """Send what has waited for the connection."""
+        super().connection_made(transport)
+        self._heard = self._link.now()
+        self.send(self._link.hello())
+        waiting = self._waiting
+        self._waiting = []
+        for forward in waiting:
+            self.ask(forward)
+
+    def connection_lost(self, error):
+        """Report the requests whose answers will not come."""
+        self._link.lost(self._host_id, self)
+        failed = self._open
+        self._open = {}
+        for forward in failed.values():
+            self._fail(forward, messages.Phase.SENT, str(error))
+
+    def data_received(self, chunk):
+        """Note that the connection is alive."""
+        self._heard = self._link.now()
+        super().data_received(chunk)
+
+    def received(self, message):
+        """Report an answer or a refusal."""
+        if isinstance(message, (peermsg.Answered, peermsg.Refused)):
+            key = (message.number, message.exchange)
+            if self._open.pop(key, None) is not None:
+                self._link.post(_event_of(message))
+
+    async def _connect(self):
+        ip_text, port = settings.split_address(self.address)
+        connecting = asyncio.get_running_loop().create_connection(
+            lambda: self, ip_text, port
+        )
+        try:
+            await asyncio.wait_for(connecting, CONNECT_TIMEOUT_MS / MS_PER_S)
+        except (OSError, TimeoutError) as error:
+            _log.warning('no connection to {}: {!r}', self._host_id, error)
+            self._link.lost(self._host_id, self)
+            waiting = self._waiting
+            self._waiting = []
+            for forward in waiting:
+                self._fail(forward, messages.Phase.UNSENT, repr(error))
+
+    def _fail(self, forward, phase, detail):
+        self._link.post(
+            messages.ExchangeFailed(
+                number=forward.number,
+                exchange=forward.exchange,
+                phase=phase,
+                reason=messages.Reason.UNREACHABLE,
+                detail=detail,
+            )
+        )
+
+
+class _Inbound(frames.FrameProtocol):
+    """A connection on which another agent asks this one."""
+
+    def __init__(self, link):
+        super().__init__()
+        self.host_id = ''
+        self.open = {}
+        self._link = link
+
+    def received(self, message):
+        """Take in a request, a cancellation or a ping."""
+        if isinstance(message, peermsg.Hello):
+            self.host_id = message.host_id
+        elif isinstance(message, peermsg.Ask):
+            self._link.asked(self, message.forward)
+        elif isinstance(message, peermsg.Cancel):
+            number = self.open.pop((message.number, message.exchange), None)
+            if number is not None:
+                self._link.canceled(number)
+        elif isinstance(message, peermsg.Ping):
+            self.send(peermsg.Pong())
+
+    def connection_lost(self, error):
+        """Cancel the requests whose answers cannot be passed back."""
+        numbers = tuple(self.open.values())
+        self.open.clear()
+        for number in numbers:
+            self._link.canceled(number)
+
+
+def _event_of(message):
+    if isinstance(message, peermsg.Answered):
+        return messages.ExchangeEnded(
+            message.number, message.exchange, message.answer, message.wait_ms
+        )
+    return messages.ExchangeFailed(
+        number=message.number,
+        exchange=message.exchange,
+        phase=messages.Phase.REFUSED,
+        reason=message.reason,
+        verdict=message.verdict,
+        retry_after_ms=message.retry_after_ms,
+        wait_ms=message.wait_ms,
+    )
--- /dev/null
+++ b/laburnumlatch/mesh/peermsg.py
@@ -0,0 +1,65 @@
+"""Frames between agents over kept connections.
+
+`number` and `exchange` are those of the agent that asks.
+"""
+
+import attrs
+
+from laburnumlatch.mesh import messages
+
+
+@attrs.define(frozen=True)
+class Hello:
+    """First frame of a connection: who asks."""
+
+    host_id: str
+
+
+@attrs.define(frozen=True)
+class Ask:
+    """A request for the receiver's backend server."""
+
+    forward: messages.Forward
+
+
+@attrs.define(frozen=True)
+class Cancel:
+    """Nobody waits for the answer any more."""
+
+    number: int
+    exchange: int
+
+
+@attrs.define(frozen=True)
+class Answered:
+    """The answer to an `Ask`."""
+
+    number: int
+    exchange: int
+    answer: messages.Answer
+    wait_ms: int
+
+
+@attrs.define(frozen=True)
+class Refused:
+    """There is no answer to an `Ask`, and why."""
+
+    number: int
+    exchange: int
+    verdict: messages.Verdict
+    reason: messages.Reason
+    retry_after_ms: int
+    wait_ms: int
+
+
+@attrs.define(frozen=True)
+class Ping:
+    """Asks for a `Pong`: the connection may have gone silent."""
+
+
+@attrs.define(frozen=True)
+class Pong:
+    """Answers a `Ping`."""
+
+
+KINDS = (Hello, Ask, Cancel, Answered, Refused, Ping, Pong)
--- /dev/null
+++ b/laburnumlatch/mesh/placement.py
@@ -0,0 +1,254 @@
+"""System: takes requests in and chooses the host that serves each."""
+
+from laburnumlatch import metrics
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import expiry
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import retrybudget
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import rows
+
+# For callers that do not say how long they wait.
+DEFAULT_TIME_MS = 30_000
+DEFAULT_TARGET_MS = 1000
+NOT_READY_RETRY_MS = 500
+# A host in another failure domain must be this much sooner to be chosen:
+# bytes between failure domains are dear.
+OTHER_DOMAIN_MS = 150
+
+
+def run(world, now):
+    """Take in what arrived, and place again what waited."""
+    for forwarded in world.inbox.take(messages.ForwardArrived):
+        _take_forward(world, forwarded, now)
+    for arrived in world.inbox.take(messages.RequestArrived):
+        _take_arrived(world, arrived, now)
+    for number in world.placements.pop_due(now):
+        request = world.parked.pop(number)
+        if request is not None:
+            place(world, request, now)
+    if world.placements.next_due is not None:
+        world.wake_at(world.placements.next_due)
+
+
+def place(world, request, now):
+    """Queue the request here, forward it, or refuse it."""
+    host = _host_for(world, request, now)
+    if host is None:
+        requests.park(world, request, messages.Reason.NO_HOST)
+    elif host.host_id == world.host_id:
+        admission.enter(world, request, now)
+    else:
+        _forward(world, request, host, now)
+
+
+def has_untried_host(world, request, now):
+    """Tell whether another host of an undivided service can be tried."""
+    return any(
+        host.host_id not in request.tried
+        for host in _usable(world, request.service, now)
+    )
+
+
+def _take_arrived(world, arrived, now):
+    metrics.count(world, 'arrived')
+    configuration = world.configuration
+    if configuration is None:
+        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
+        return
+    path = arrived.head.target.partition('?')[0]
+    route = configuration.match(arrived.head.host, path)
+    if route is None:
+        _refuse(world, arrived, messages.Verdict.NO_ROUTE, 'no-route')
+        return
+    if len(arrived.body) > configuration.limits.body_bytes:
+        _refuse(world, arrived, messages.Verdict.TOO_LARGE, 'too-large')
+        return
+    request = _row(world, arrived, route, now)
+    retrybudget.count_request(world, request.service, now)
+    _keep(world, request)
+    place(world, request, now)
+
+
+def _refuse(world, arrived, verdict, reason):
+    metrics.count(world, f'{verdict} {reason}')
+    world.outbox.post(
+        messages.Refuse(
+            arrived.number,
+            verdict,
+            messages.Reason(reason),
+            NOT_READY_RETRY_MS,
+        )
+    )
+
+
+def _row(world, arrived, route, now):
+    time_left_ms = arrived.time_left_ms
+    if time_left_ms is None:
+        time_left_ms = DEFAULT_TIME_MS
+    caller_deadline = now + time_left_ms
+    deadline = caller_deadline
+    if route.timeout_ms is not None:
+        deadline = min(deadline, now + route.timeout_ms)
+    return rows.Request(
+        number=arrived.number,
+        head=arrived.head,
+        body=arrived.body,
+        service=_service_of(world, route),
+        kind=route.kind,
+        priority=route.priority,
+        attempts=route.attempts,
+        arrived=now,
+        deadline=deadline,
+        caller_deadline=caller_deadline,
+        target_ms=route.target_ms or DEFAULT_TARGET_MS,
+        route=route.name,
+    )
+
+
+def _service_of(world, route):
+    """Return the service that is next by weight (smooth round robin)."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    credits_key = (route.name, route.shares)
+    credit = world.split_credits.get(credits_key)
+    if credit is None:
+        start = world.rng.random()
+        credit = world.split_credits.put(
+            credits_key,
+            {share.service: start * share.weight for share in route.shares},
+        )
+    for share in route.shares:
+        credit[share.service] += share.weight
+    chosen = max(credit, key=credit.get)
+    credit[chosen] -= sum(share.weight for share in route.shares)
+    return chosen
+
+
+def _take_forward(world, forwarded, now):
+    forward = forwarded.forward
+    request = rows.Request(
+        number=forwarded.number,
+        head=forward.head,
+        body=forward.body,
+        service=forward.service,
+        kind=routes.Kind(forward.kind),
+        priority=forward.priority,
+        attempts=1,
+        arrived=now,
+        deadline=now + forward.time_left_ms,
+        caller_deadline=now + forward.time_left_ms,
+        target_ms=forward.target_ms,
+        sender=forwarded.sender,
+        route=forward.route,
+    )
+    _keep(world, request)
+    if forward.service != world.settings.service:
+        requests.refuse(world, request, messages.Reason.NOT_OWNER)
+        return
+    if _is_misplaced(world, request, forward.plan_version):
+        requests.refuse(world, request, messages.Reason.NOT_OWNER)
+        return
+    admission.enter(world, request, now)
+
+
+def _keep(world, request):
+    world.requests.put(request.number, request)
+    expiry.watch(world, request)
+    world.wake_at(request.deadline)
+
+
+def _is_misplaced(world, request, plan_version):
+    if request.head.key is None or not world.is_divided(request.service):
+        return False
+    plan = world.plan_of(request.service)
+    if plan is None or plan.version < plan_version:
+        # The sender knows a newer plan, which will come.
+        return False
+    return plan.piece_of(request.head.key).host_id != world.host_id
+
+
+def _host_for(world, request, now):
+    if world.is_divided(request.service):
+        plan = world.plan_of(request.service)
+        if plan is None:
+            return None
+        request.plan_version = plan.version
+        key = request.head.key or 0
+        return world.hosts.get(plan.piece_of(key).host_id)
+    return _choose(world, request, now)
+
+
+def _usable(world, service, now):
+    hosts = [
+        host
+        for host in world.hosts
+        if host.record.service == service
+        and host.record.state == rows.HostState.READY
+    ]
+    good = [host for host in hosts if host.avoid_until <= now]
+    return good or hosts
+
+
+def _choose(world, request, now):
+    hosts = _usable(world, request.service, now)
+    fresh = [host for host in hosts if host.host_id not in request.tried]
+    if not fresh:
+        return None
+    domain = world.settings.domain
+    return min(
+        fresh,
+        key=lambda host: (
+            _wait_ms(world, host, now)
+            + (host.record.domain != domain) * OTHER_DOMAIN_MS,
+            world.rng.random(),
+        ),
+    )
+
+
+def _wait_ms(world, host, now):
+    """Return how long a request would wait at a host, as far as known here."""
+    if host.host_id == world.host_id:
+        return admission.expected_wait_ms(world, now)
+    reported = max(0, host.wait_ms - (now - host.reported))
+    slots = max(1, host.record.slots)
+    beyond = max(0, host.in_flight + 1 - slots)
+    return max(reported, beyond * admission.DEFAULT_WORK_MS / slots)
+
+
+def _forward(world, request, host, now):
+    request.state = rows.RequestState.FORWARDED
+    request.host_id = host.host_id
+    request.exchange += 1
+    request.started = now
+    host.in_flight += 1
+    requests.decide(
+        request,
+        'forward',
+        host=host.host_id,
+        key=request.head.key,
+        plan=request.plan_version,
+        wait_ms=int(host.wait_ms),
+        report_age_ms=now - host.reported if host.reported else -1,
+        left_ms=request.deadline - now,
+    )
+    world.outbox.post(
+        messages.SendForward(
+            host.host_id,
+            host.record.address,
+            messages.Forward(
+                number=request.number,
+                exchange=request.exchange,
+                head=request.head,
+                body=request.body,
+                service=request.service,
+                kind=request.kind,
+                priority=request.priority,
+                time_left_ms=request.deadline - now,
+                target_ms=request.target_ms,
+                route=request.route,
+                plan_version=request.plan_version,
+            ),
+        )
+    )
--- /dev/null
+++ b/laburnumlatch/mesh/planner.py
@@ -0,0 +1,281 @@
+"""System: the planner writes who owns which keys, as holder of its role."""
+
+import attrs
+
+from laburnumlatch import docmsg
+from laburnumlatch import logs
+from laburnumlatch import wire
+from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import members
+from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import role
+
+TICKET = 'plan/'
+PLAN_MS = 200
+# Load moves only this often: a move takes about a request's time.
+BALANCE_MS = 1000
+# Hosts that start together are known by then.
+FIRST_PLAN_MS = 1500
+# Load counts decay to a half in this time: short enough to follow a key that
+# becomes hot, long enough to see cells with few requests.
+HALF_LIFE_MS = 4000
+MEAN_WEIGHT = 0.1
+DEFAULT_MEAN_MS = 200.0
+SILENT_MS = 1500
+
+_log = logs.logger('planner')
+
+
+def run(world, now):
+    """Plan every divided service while this agent holds the role."""
+    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+        _written(world, written)
+    for kind in (docmsg.StoreRefused, docmsg.StoreFailed):
+        for answer in world.inbox.take_answers(kind, TICKET):
+            _log.warning('plan not written: {}', answer)
+            world.plan_writes.pop(answer.ticket)
+            # What is in the store now comes with the rows.
+            world.outbox.post(
+                docmsg.StoreRead(members.SCAN_TICKET, members.TABLE)
+            )
+    if not world.role.is_held or world.configuration is None:
+        return
+    for lessee in world.lessees:
+        _learn(world, lessee)
+    if world.due('planner/plan', PLAN_MS, now):
+        _plan_all(world, now)
+
+
+def _written(world, written):
+    plan = world.plan_writes.pop(written.ticket)
+    if plan is not None:
+        members.take_plan(world, plan, written.version)
+
+
+def _plan_all(world, now):
+    own_role = world.role
+    is_free = not own_role.pending and not len(world.plan_writes)
+    if not is_free or not role.may_lease(own_role, now):
+        return
+    for service in world.configuration.services.values():
+        if service.is_divided:
+            _decay(world, service.name, now)
+            plan = _next_plan(world, service.name, now)
+            if plan is not None:
+                _write(world, plan)
+                return
+
+
+def _write(world, plan):
+    row = world.plans.get(plan.service)
+    ticket = f'{TICKET}{world.next_ticket()}'
+    world.plan_writes.put(ticket, plan)
+    world.outbox.post(
+        docmsg.StorePut(
+            ticket,
+            f'{members.PLAN_PREFIX}{plan.service}',
+            wire.pack(plan),
+            0 if row is None else row.row_version,
+            ((role.ROW, world.role.row_version),),
+        )
+    )
+
+
+def _next_plan(world, service, now):
+    """Return the plan to write next, or None if the present one is good."""
+    candidates = _candidates(world, service, now)
+    plan = world.plan_of(service)
+    if plan is None:
+        if not candidates or now < world.role.taken + FIRST_PLAN_MS:
+            return None
+        owners = [(one.host_id, one.life) for one in candidates]
+        return ranges.Plan(service, 1, ranges.equal(owners, 1))
+    if not candidates:
+        return None
+    version = plan.version + 1
+    draft = _Draft(world, service, candidates, version, now)
+    pieces = tuple(draft.renewed(piece) for piece in plan.pieces)
+    if pieces == plan.pieces and world.due(
+        f'planner/balance/{service}', BALANCE_MS, now
+    ):
+        pieces = draft.balanced(pieces)
+    pieces = ranges.join(pieces)
+    if pieces == plan.pieces:
+        return None
+    return ranges.Plan(service, version, pieces)
+
+
+class _Draft:
+    """Decisions on the pieces of one service, for one write."""
+
+    def __init__(self, world, service, candidates, version, now):
+        self._world = world
+        self._version = version
+        self._now = now
+        self._by_id = {one.host_id: one for one in candidates}
+        self._candidates = candidates
+        loads = world.loads.get(service) or leaserows.CellLoads()
+        self._by_cell = loads.by_cell
+        plan = world.plan_of(service)
+        self._use = balancing.use_by_host(
+            plan.pieces, self._by_cell, candidates
+        )
+        self._total = max(
+            sum(balancing.load_of(piece, self._by_cell) for piece in plan.pieces),
+            1e-9,
+        )
+
+    def renewed(self, piece):
+        """Return the piece with an owner that can serve it."""
+        piece = self._settled(piece)
+        owner = self._by_id.get(piece.host_id)
+        if owner is not None and owner.life == piece.life:
+            return piece
+        if owner is not None or self._is_out(piece.host_id, piece.life):
+            return self._given(piece, piece.former)
+        lessee = self._world.lessees.get(piece.host_id)
+        is_leaving = (
+            lessee is not None
+            and lessee.is_leaving
+            and lessee.life == piece.life
+        )
+        if is_leaving and not piece.former:
+            return self._given(piece, piece.host_id)
+        return piece
+
+    def balanced(self, pieces):
+        """Return the pieces after the moves that pay."""
+        if any(piece.former for piece in pieces):
+            return pieces
+        found = balancing.moves(pieces, self._by_cell, self._candidates)
+        for move in found:
+            pieces = ranges.split(pieces, (move.start, move.end + 1))
+            pieces = tuple(
+                self._moved(piece, move)
+                if move.start <= piece.start <= move.end
+                else piece
+                for piece in pieces
+            )
+        if found:
+            _log.info('balance moves={} use={}', len(found), self._use)
+        return pieces
+
+    def _moved(self, piece, move):
+        target = self._by_id[move.host_id]
+        return attrs.evolve(
+            piece,
+            host_id=target.host_id,
+            life=target.life,
+            fence=self._version,
+            former=piece.host_id,
+        )
+
+    def _settled(self, piece):
+        """Return the piece without its former owner, once that is out."""
+        if not piece.former:
+            return piece
+        owner = self._world.lessees.get(piece.host_id)
+        is_taken = owner is not None and piece.fence in owner.taken
+        if is_taken or self._is_out(piece.former, None):
+            return attrs.evolve(piece, former='')
+        return piece
+
+    def _given(self, piece, former):
+        """Return the piece with the host that has most room as owner."""
+        others = [one for one in self._candidates if one.host_id != former]
+        if not others:
+            return piece
+        target = min(others, key=self._use_of)
+        share = balancing.load_of(piece, self._by_cell) / self._total
+        capacity = sum(one.capacity for one in self._candidates)
+        self._use[target.host_id] += share * capacity / target.capacity
+        _log.info(
+            'piece start={} end={} from={} to={} former={}',
+            piece.start,
+            piece.end,
+            piece.host_id,
+            target.host_id,
+            former,
+        )
+        return attrs.evolve(
+            piece,
+            host_id=target.host_id,
+            life=target.life,
+            fence=self._version,
+            former=former,
+        )
+
+    def _use_of(self, candidate):
+        return self._use[candidate.host_id]
+
+    def _is_out(self, host_id, life):
+        """Tell whether a host holds nothing for certain.
+
+        `life` is the run of its backend server that had the keys, None if
+        any run counts.
+        """
+        lessee = self._world.lessees.get(host_id)
+        if lessee is not None and self._now < lessee.heard + SILENT_MS:
+            if lessee.life is not None:
+                return life is not None and lessee.life != life
+            return self._now >= lessee.grants_end
+        ends = role.former_planners_end(
+            self._world.role,
+            self._world.lessees,
+            leaserows.latest_end_ms(),
+        )
+        if lessee is not None:
+            ends = max(ends, lessee.expires)
+        return self._now >= ends
+
+
+def _candidates(world, service, now):
+    loads = world.loads.get(service)
+    known = {} if loads is None else loads.mean_ms
+    usual = sum(known.values()) / len(known) if known else DEFAULT_MEAN_MS
+    return [
+        balancing.Candidate(
+            lessee.host_id,
+            lessee.life,
+            lessee.slots / known.get(lessee.host_id, usual),
+        )
+        for lessee in sorted(world.lessees, key=lambda one: one.host_id)
+        if lessee.service == service
+        and lessee.life is not None
+        and lessee.slots
+        and not lessee.is_leaving
+        and now < lessee.heard + SILENT_MS
+    ]
+
+
+def _learn(world, lessee):
+    reports = lessee.reports
+    if not reports:
+        return
+    lessee.reports = []
+    loads = world.loads.get(lessee.service)
+    if loads is None:
+        loads = world.loads.put(lessee.service, leaserows.CellLoads())
+    for renew in reports:
+        for cell, count in renew.cells:
+            loads.by_cell[cell] = loads.by_cell.get(cell, 0) + count
+        if renew.done:
+            sample = renew.busy_ms / renew.done
+            known = loads.mean_ms.get(renew.host_id, sample)
+            weight = min(1, MEAN_WEIGHT * renew.done)
+            loads.mean_ms[renew.host_id] = known + weight * (sample - known)
+
+
+def _decay(world, service, now):
+    loads = world.loads.get(service)
+    if loads is None:
+        return
+    passed_ms = now - loads.decayed if loads.decayed else 0
+    loads.decayed = now
+    factor = 0.5 ** (passed_ms / HALF_LIFE_MS)
+    loads.by_cell = {
+        cell: rate * factor
+        for cell, rate in loads.by_cell.items()
+        if rate * factor > balancing.IDLE_RATE
+    }
--- /dev/null
+++ b/laburnumlatch/mesh/requests.py
@@ -0,0 +1,134 @@
+"""Steps in the life of a request row that several systems share."""
+
+from laburnumlatch import logs
+from laburnumlatch import metrics
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import rows
+
+MIN_RETRY_AFTER_MS = 50
+# Callers wait at most this part of the time they have left.
+RETRY_AFTER_PART = 3
+# A request of a divided service waits this long for its owner to be known.
+PARK_MS = 25
+MAX_PARKS = 12
+
+_log = logs.logger('requests')
+
+
+def decide(request, outcome, **inputs):
+    """Log one decision about a request, with what decided it."""
+    told = ' '.join(f'{name}={value}' for name, value in inputs.items())
+    _log.info(
+        'request={} service={} priority={} {} {}',
+        request.request_id,
+        request.service,
+        request.priority,
+        outcome,
+        told,
+    )
+
+
+def refuse(world, request, reason, retry_after_ms=0):
+    """Say that the request has not run, and drop its row.
+
+    Where an earlier exchange may have run it, the outcome is unknown.
+    """
+    if request.may_have_run:
+        end(world, request, messages.Verdict.UNKNOWN, reason)
+        return
+    left_ms = max(0, request.caller_deadline - world.now)
+    retry_after_ms = max(
+        MIN_RETRY_AFTER_MS,
+        min(int(retry_after_ms), left_ms // RETRY_AFTER_PART),
+    )
+    end(world, request, messages.Verdict.NOT_RUN, reason, retry_after_ms)
+
+
+def end(world, request, verdict, reason, retry_after_ms=0):
+    """Tell the caller or the forwarding agent; drop the row."""
+    drop(world, request)
+    metrics.count(world, f'{verdict} {reason}')
+    decide(
+        request,
+        verdict,
+        reason=reason,
+        host=request.host_id or '-',
+        retry_after_ms=retry_after_ms,
+        age_ms=world.now - request.arrived,
+        left_ms=request.deadline - world.now,
+    )
+    if request.is_detached:
+        return
+    if request.sender:
+        world.outbox.post(
+            messages.ReplyRefusal(
+                request.number,
+                verdict,
+                reason,
+                retry_after_ms,
+                admission.expected_wait_ms(world, world.now),
+            )
+        )
+        return
+    world.outbox.post(
+        messages.Refuse(request.number, verdict, reason, retry_after_ms),
+    )
+
+
+def deliver(world, request, answer):
+    """Pass the answer on to whoever asked; drop the row."""
+    drop(world, request)
+    metrics.count(world, 'answered')
+    if request.is_detached:
+        return
+    if request.sender:
+        wait_ms = admission.expected_wait_ms(world, world.now)
+        world.outbox.post(
+            messages.ReplyAnswer(request.number, answer, wait_ms),
+        )
+        return
+    metrics.observe(world, request.service, world.now - request.arrived)
+    decide(
+        request,
+        'answered',
+        status=answer.status,
+        host=request.host_id or '-',
+        age_ms=world.now - request.arrived,
+        target_ms=request.target_ms,
+    )
+    world.outbox.post(messages.Deliver(request.number, answer))
+
+
+def drop(world, request):
+    """Drop the row and give back what it occupies."""
+    release(world, request)
+    world.requests.pop(request.number)
+
+
+def release(world, request):
+    """Give back what the present exchange of the request occupies."""
+    world.parked.pop(request.number)
+    world.queue.pop(request.number)
+    if request.state == rows.RequestState.RUNNING:
+        if world.backend is not None:
+            world.backend.running -= 1
+    elif request.state == rows.RequestState.FORWARDED:
+        host = world.hosts.get(request.host_id)
+        if host is not None:
+            host.in_flight -= 1
+    request.state = rows.RequestState.PARKED
+
+
+def park(world, request, reason):
+    """Place the request again a little later, or refuse it."""
+    release(world, request)
+    request.last_reason = reason
+    due = world.now + PARK_MS
+    if request.waits >= MAX_PARKS or due >= request.deadline:
+        refuse(world, request, reason, PARK_MS * MAX_PARKS)
+        return
+    request.waits += 1
+    world.parked.put(request.number, request)
+    world.placements.push(due, request.number)
+    world.wake_at(due)
--- /dev/null
+++ b/laburnumlatch/mesh/retrybudget.py
@@ -0,0 +1,56 @@
+"""Budget of repeats for each service, which all agents keep together.
+
+Each agent counts only its own requests and takes an equal part of the fixed
+allowance, so that the sum over all agents stays within the bound.
+"""
+
+import attrs
+
+from laburnumlatch.mesh import members
+
+MS_PER_S = 1000
+# Calls that a repeated run makes count as repeats too, and an agent does not
+# see them; this part of the bound is left for them.
+USED_RATE = 0.6
+
+
+@attrs.define
+class Second:
+    """Requests and repeats of one second, for one service."""
+
+    requests: int = 0
+    repeats: int = 0
+
+
+def count_request(world, service, now):
+    """Count a caller's request for a service."""
+    _second(world, service, now).requests += 1
+
+
+def take(world, service, now):
+    """Spend one repeat; return False if the budget has none left."""
+    window = _window(world, service, now)
+    requests = sum(second.requests for second in window.values())
+    repeats = sum(second.repeats for second in window.values())
+    bounds = world.settings.bounds
+    hosts = max(1, len(members.live_hosts(world)))
+    allowed = bounds.retry_ratio * requests + bounds.retry_extra / hosts
+    if repeats + 1 > USED_RATE * allowed:
+        return False
+    _second(world, service, now).repeats += 1
+    return True
+
+
+def _second(world, service, now):
+    return _window(world, service, now).setdefault(now // MS_PER_S, Second())
+
+
+def _window(world, service, now):
+    window = world.retry_windows.get(service)
+    if window is None:
+        window = world.retry_windows.put(service, {})
+    oldest = (now - world.settings.bounds.retry_window_ms) // MS_PER_S
+    for second in tuple(window):
+        if second < oldest:
+            window.pop(second)
+    return window
--- /dev/null
+++ b/laburnumlatch/mesh/role.py
@@ -0,0 +1,255 @@
+"""System: who holds the planner role, by one row of the store."""
+
+from laburnumlatch import docmsg
+from laburnumlatch import errors
+from laburnumlatch import logs
+from laburnumlatch import wire
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import members
+
+TABLE = 'roles/'
+ROW = 'roles/planner'
+TICKET = 'role/'
+READ_TICKET = 'role/read'
+RENEW_TICKET = 'role/renew'
+TAKE_TICKET = 'role/take'
+
+RENEW_MS = 1000
+# A call to the store without an answer counts as failed after this time.
+CALL_MS = 1000
+READ_MS = 400
+# The role is taken from a holder whose row has not changed for this time.
+UNCHANGED_MS = 1600
+# An agent that has heard nothing from the planner for this time looks at the
+# row. Agents look one after another, so that mostly one of them writes.
+SILENCE_MS = 1500
+STAGGER_MS = 60
+MAX_STAGGERS = 12
+# With a renewal this young the holder is certain that nobody took the role.
+SURE_MS = 2000
+# Without the store the holder goes on for this time, if a majority of the
+# hosts still speaks to it.
+OUTAGE_MS = 12_000
+MAJORITY_MS = 1500
+
+_log = logs.logger('role')
+
+
+def run(world, now):
+    """Renew the role, or take it where its holder has gone."""
+    _answers(world, now)
+    if world.role.is_held:
+        _hold(world, now)
+    elif world.has_members:
+        _watch(world, now)
+
+
+def may_lease(role, now):
+    """Tell whether the holder may give leases at `now`."""
+    if not role.is_held:
+        return False
+    if now < role.renewed + SURE_MS:
+        return True
+    return (
+        now < role.renewed + OUTAGE_MS and now < role.majority_at + MAJORITY_MS
+    )
+
+
+def former_planners_end(role, lessees, lease_ms):
+    """Return when no lease of an earlier planner can be live, in ms.
+
+    An earlier planner stops giving leases when its process speaks to this
+    one, or when a majority of the hosts no longer speaks to it.
+    """
+    if role.is_first:
+        return role.taken
+    ends = [role.taken + OUTAGE_MS]
+    if role.majority_since is not None:
+        ends.append(
+            max(role.majority_since + MAJORITY_MS, role.taken + SURE_MS),
+        )
+    former = lessees.get(role.former_holder)
+    if former is not None and former.first_heard is not None:
+        ends.append(former.first_heard)
+    return min(ends) + lease_ms
+
+
+def adopt(world, holder, address, term, now):
+    """Follow another planner of a higher term; return whether it is new."""
+    role = world.role
+    if term <= role.term or holder == world.host_id:
+        return False
+    _log.info('planner={} term={} was={}', holder, term, role.holder)
+    if role.is_held:
+        _step_down(world)
+    role.holder = holder
+    role.address = address
+    role.term = term
+    world.lease.answered = now
+    world.lease.planner_has_store = True
+    return True
+
+
+def _answers(world, now):
+    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+        world.role.pending = ''
+        _read(world, read, now)
+    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+        _written(world, written, now)
+    for _refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+        world.role.pending = ''
+        _ask(world, now)
+    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        world.role.pending = ''
+        world.role.has_store = False
+
+
+def _read(world, read, now):
+    role = world.role
+    role.has_store = True
+    for row in read.rows:
+        if row.key != ROW:
+            continue
+        try:
+            record = wire.unpack(row.body, leaserows.RoleRecord)
+        except errors.WireError as error:
+            _log.error('row {} ignored: {}', row.key, error)
+            continue
+        _see(world, record, row.version, now)
+    if role.row_version is None:
+        role.row_version = 0
+        role.row_seen = now
+
+
+def _see(world, record, version, now):
+    role = world.role
+    if role.is_held and (record.holder, record.term) != (
+        world.host_id,
+        role.term,
+    ):
+        _log.warning('planner role lost to {}', record.holder)
+        _step_down(world)
+    if role.row_version != version:
+        role.row_version = version
+        role.row_seen = now
+    if record.holder == world.host_id and not role.is_held:
+        # Held by an earlier process on this host, which has ended.
+        role.term = max(role.term, record.term)
+        _take(world, now)
+    else:
+        adopt(world, record.holder, record.address, record.term, now)
+
+
+def _hold(world, now):
+    role = world.role
+    if role.pending and now >= role.sent + CALL_MS:
+        role.has_store = False
+    if not world.due(RENEW_TICKET, RENEW_MS, now) or role.pending:
+        return
+    _put(world, RENEW_TICKET, role.term, now)
+
+
+def _put(world, ticket, term, now):
+    role = world.role
+    own = world.settings
+    record = leaserows.RoleRecord(own.host_id, own.peer_address, term)
+    role.pending = ticket
+    role.sent = now
+    world.outbox.post(
+        docmsg.StorePut(ticket, ROW, wire.pack(record), role.row_version or 0),
+    )
+
+
+def _written(world, written, now):
+    role = world.role
+    role.pending = ''
+    role.has_store = True
+    if written.ticket == TAKE_TICKET:
+        _taken(world, now)
+    role.row_version = written.version
+    role.renewed = role.sent
+
+
+def _taken(world, now):
+    role = world.role
+    role.is_first = not role.row_version
+    role.former_holder = role.holder
+    role.holder = world.host_id
+    role.address = world.settings.peer_address
+    role.term += 1
+    role.is_held = True
+    role.taken = now
+    role.majority_at = 0
+    role.majority_since = None
+    world.lessees.clear()
+    world.loads.clear()
+    _log.info('planner role taken term={}', role.term)
+    told = leasemsg.PlannerIs(role.holder, role.address, role.term)
+    for host in members.live_hosts(world):
+        if host.host_id != world.host_id:
+            world.outbox.post(
+                leasemsg.SendDatagram(host.record.address, told),
+            )
+
+
+def _step_down(world):
+    world.role.is_held = False
+    world.role.pending = ''
+    world.lessees.clear()
+
+
+def _watch(world, now):
+    """Look at the row if the planner is silent; take it if it is stale."""
+    lease = world.lease
+    patience_ms = SILENCE_MS + _rank(world) * STAGGER_MS
+    if not lease.planner_has_store:
+        patience_ms = _rank(world) * STAGGER_MS
+    due = lease.answered + patience_ms
+    if world.role.holder and now < due:
+        world.wake_at(due)
+        return
+    if world.role.pending:
+        return
+    if _is_stale(world, now):
+        _take(world, now)
+    elif world.due(READ_TICKET, READ_MS, now):
+        _ask(world, now)
+
+
+def _is_stale(world, now):
+    role = world.role
+    if role.row_version is None or not role.has_store:
+        return False
+    if role.row_version == 0:
+        return True
+    return now >= role.row_seen + UNCHANGED_MS
+
+
+def _take(world, now):
+    if world.stopping_since is None and not world.role.pending:
+        _put(world, TAKE_TICKET, world.role.term + 1, now)
+
+
+def _ask(world, now):
+    world.role.pending = READ_TICKET
+    world.role.sent = now
+    world.outbox.post(docmsg.StoreRead(READ_TICKET, TABLE))
+
+
+def _rank(world):
+    """Return this host's place in the order in which agents look."""
+    own = world.settings
+    ids = sorted(
+        host.host_id
+        for host in members.live_hosts(world)
+        if not world.is_divided_host(host)
+    ) + sorted(
+        host.host_id
+        for host in members.live_hosts(world)
+        if world.is_divided_host(host)
+    )
+    if own.host_id not in ids:
+        return MAX_STAGGERS
+    return min(ids.index(own.host_id), MAX_STAGGERS)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -97,7 +97,8 @@
     Times are of the agent's clock in ms. `exchange` numbers the attempts to
     pass the request on; events of an older one are ignored. `sender` is the
     host that forwarded it here, empty for a caller's own request. `sends`
-    counts exchanges in which a backend server may have got the request.
+    counts exchanges in which a backend server may have got the request;
+    `may_have_run` tells that one of them may have run it.
     """
 
     number: int
@@ -109,9 +110,8 @@
     attempts: int
     arrived: int
     deadline: int
-    target: int
+    target_ms: int
     sender: str = ''
-    sender_exchange: int = 0
     route: str = ''
     caller_deadline: int = 0
     state: RequestState = RequestState.PARKED
@@ -123,7 +123,7 @@
     tried: list[str] = attrs.Factory(list)
     last_reason: messages.Reason = messages.Reason.NO_HOST
     is_detached: bool = False
-    is_repeat: bool = False
+    may_have_run: bool = False
     plan_version: int = 0
 
     @property
--- /dev/null
+++ b/laburnumlatch/mesh/ticks.py
@@ -0,0 +1,39 @@
+"""The fixed order of the systems, and one tick over them."""
+
+from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import configuring
+from laburnumlatch.mesh import dispatch
+from laburnumlatch.mesh import expiry
+from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import leases
+from laburnumlatch.mesh import leaving
+from laburnumlatch.mesh import members
+from laburnumlatch.mesh import outcomes
+from laburnumlatch.mesh import placement
+from laburnumlatch.mesh import planner
+from laburnumlatch.mesh import role
+
+# What is believed about hosts and keys comes before requests, so that each
+# request is decided on the newest state; ends of requests come before starts,
+# so that a free slot of the backend server is used in the same tick.
+ORDER = (
+    configuring,
+    members,
+    role,
+    leases,
+    planner,
+    holdings,
+    expiry,
+    outcomes,
+    placement,
+    admission,
+    dispatch,
+    leaving,
+)
+
+
+def tick(world, now):
+    """Run every system once at `now`, in ms of the agent's clock."""
+    world.begin_tick(now)
+    for system in ORDER:
+        system.run(world, now)
--- /dev/null
+++ b/laburnumlatch/mesh/world.py
@@ -0,0 +1,91 @@
+"""The state of one agent beside a backend server."""
+
+import random
+
+import attrs
+
+from laburnumlatch import tables
+from laburnumlatch import ticking
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import settings as settings_module
+
+
+@attrs.define(kw_only=True)
+class World(ticking.TickState):
+    """Everything the systems read and write; nothing else holds state."""
+
+    settings: settings_module.Settings
+    rng: random.Random
+    started: int
+    configuration: routes.Configuration | None = None
+    backend: rows.Backend | None = None
+    hosts: tables.Table = attrs.Factory(tables.Table)
+    requests: tables.Table = attrs.Factory(tables.Table)
+    queue: tables.Table = attrs.Factory(tables.Table)
+    parked: tables.Table = attrs.Factory(tables.Table)
+    deadlines: tables.DueQueue = attrs.Factory(tables.DueQueue)
+    placements: tables.DueQueue = attrs.Factory(tables.DueQueue)
+    split_credits: tables.Table = attrs.Factory(tables.Table)
+    work_times: tables.Table = attrs.Factory(tables.Table)
+    retry_windows: tables.Table = attrs.Factory(tables.Table)
+    plans: tables.Table = attrs.Factory(tables.Table)
+    holdings: tables.Table = attrs.Factory(tables.Table)
+    handovers: tables.Table = attrs.Factory(tables.Table)
+    received: tables.Table = attrs.Factory(tables.Table)
+    lessees: tables.Table = attrs.Factory(tables.Table)
+    loads: tables.Table = attrs.Factory(tables.Table)
+    counters: tables.Table = attrs.Factory(tables.Table)
+    latencies: tables.Table = attrs.Factory(tables.Table)
+    plan_writes: tables.Table = attrs.Factory(tables.Table)
+    role: leaserows.Role = attrs.Factory(leaserows.Role)
+    lease: leaserows.OwnLease = attrs.Factory(leaserows.OwnLease)
+    report: leaserows.LoadReport = attrs.Factory(leaserows.LoadReport)
+    has_members: bool = False
+    is_watching: bool = False
+    is_watching_configuration: bool = False
+    members_version: int = 0
+    own_row_version: int = 0
+    stopping_since: int | None = None
+    _tickets: int = 0
+
+    @property
+    def host_id(self):
+        """Identity of this host."""
+        return self.settings.host_id
+
+    @property
+    def is_ready(self):
+        """Whether callers on this host may send new work."""
+        return (
+            self.configuration is not None
+            and self.has_members
+            and self.stopping_since is None
+        )
+
+    def next_ticket(self):
+        """Return a number that no other message of this agent bears."""
+        self._tickets += 1
+        return self._tickets
+
+    def plan_of(self, service):
+        """Return the newest `ranges.Plan` of a service, or None."""
+        row = self.plans.get(service)
+        return None if row is None else row.plan
+
+    def is_divided(self, service):
+        """Tell whether the keys of a service are divided among hosts."""
+        if self.configuration is None:
+            return False
+        known = self.configuration.services.get(service)
+        return known is not None and known.is_divided
+
+    def is_divided_host(self, host):
+        """Tell whether a host owns keys of its service."""
+        return self.is_divided(host.record.service)
+
+
+def create(settings, seed, now):
+    """Return the empty world of an agent that starts at `now`."""
+    return World(settings=settings, rng=random.Random(seed), started=now)
--- a/laburnumlatch/metrics.py
+++ b/laburnumlatch/metrics.py
@@ -1,5 +1,7 @@
 """System: counters and latency percentiles of a running agent."""
 
+import re
+
 import attrs
 from hdrh import histogram
 
@@ -66,3 +68,17 @@
         },
         'requests': len(world.requests),
     }
+
+
+def as_text(world):
+    """Return all counters and percentiles as lines of name and number."""
+    lines = [f'{_name(row.name)} {row.total}' for row in world.counters]
+    for row in world.latencies:
+        for rank, latency_ms in measures.percentiles(row.recorded).items():
+            name = _name(f'latency_ms {row.class_name} {rank}')
+            lines.append(f'{name} {latency_ms}')
+    return '\n'.join((*lines, f'requests_open {len(world.requests)}', ''))
+
+
+def _name(words):
+    return re.sub(r'\W+', '_', words)
--- /dev/null
+++ b/laburnumlatch/platform/__main__.py
@@ -0,0 +1,27 @@
+"""Entry point on the platform: no arguments, all from the settings file."""
+
+import asyncio
+import sys
+
+from laburnumlatch import errors
+from laburnumlatch import logs
+from laburnumlatch.platform import bootfile
+from laburnumlatch.platform import runner
+
+EXIT_BAD_SETTINGS = 1
+
+
+def main():
+    """Read the settings and serve; end with a clear line if they are bad."""
+    try:
+        settings = bootfile.load(bootfile.path())
+    except errors.InvalidInputError as error:
+        sys.stderr.write(f'settings: {error}\n')
+        return EXIT_BAD_SETTINGS
+    logs.set_up(settings.log_level, sys.stdout)
+    asyncio.run(runner.serve(settings))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/laburnumlatch/platform/announcements.py
@@ -0,0 +1,59 @@
+"""What a backend server tells of itself, decoded to the product's messages."""
+
+import functools
+import json
+
+from laburnumlatch import errors
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
+from laburnumlatch.platform import durations
+
+HEARTBEAT = 'instances.heartbeat'
+DEREGISTER = 'instances.deregister'
+_IS_DRAINING = {'ready': False, 'draining': True}
+_ERRORS = (ValueError, TypeError, KeyError)
+
+
+def decode(call, server_id, body):
+    """Return a function that makes the message for an ask's number.
+
+    Raises `errors.InvalidInputError` if the call cannot be understood: it
+    then names no backend server.
+    """
+    if not server_id:
+        raise errors.InvalidInputError('no identity')
+    if call == DEREGISTER:
+        return functools.partial(messages.BackendLeft, server_id=server_id)
+    if call != HEARTBEAT:
+        raise errors.InvalidInputError('no such call')
+    try:
+        return _announced(server_id, json.loads(body))
+    except _ERRORS as error:
+        raise errors.InvalidInputError(f'announcement: {error!r}') from error
+
+
+def _announced(server_id, document):
+    return functools.partial(
+        messages.BackendAnnounced,
+        life=ranges.Life(server_id, _whole(document, 'born')),
+        service=_text(document, 'service'),
+        address=_text(document, 'address'),
+        slots=_whole(document, 'slots'),
+        is_draining=_IS_DRAINING[document['state']],
+        sequence=_whole(document, 'sequence'),
+        cold_ms=durations.parse(document.get('cold_remaining', '0ms')),
+    )
+
+
+def _whole(document, name):
+    number = document[name]
+    if type(number) is not int or number < 0:
+        raise errors.InvalidInputError(f'{name} is {number!r}')
+    return number
+
+
+def _text(document, name):
+    text = document[name]
+    if not isinstance(text, str):
+        raise errors.InvalidInputError(f'{name} is {text!r}')
+    return text
--- /dev/null
+++ b/laburnumlatch/platform/backendclient.py
@@ -0,0 +1,270 @@
+"""Front end to the local backend server: requests, grants and releases."""
+
+import asyncio
+import json
+
+import pycurl
+from tornado import httpclient
+from tornado import httputil
+
+from laburnumlatch import curlclient
+from laburnumlatch import frontends
+from laburnumlatch.mesh import messages
+from laburnumlatch.platform import durations
+from laburnumlatch.platform import wire
+
+MS_PER_S = 1000
+CONNECT_TIMEOUT_MS = 500
+# The expiry system cancels an exchange before this.
+TIMEOUT_MARGIN_MS = 1000
+GRANT_TIMEOUT_MS = 600
+# A release is answered when running work has ended.
+RELEASE_TIMEOUT_MS = 6000
+MAX_CLIENTS = 96
+FAILED = 599
+STATUS_OK = 200
+STATUS_NOT_ASKED = 400
+STATUS_MISDIRECTED = 421
+STATUS_CONFLICT = 409
+# Fields that libcurl adds by itself unless they are set to nothing.
+_ADDED_BY_CLIENT = ('Accept', 'User-Agent', 'Content-Type')
+
+
+class BackendClient(frontends.FrontEnd):
+    """Talks to the one backend server beside this agent."""
+
+    kinds = (
+        messages.Send,
+        messages.CancelSend,
+        messages.GiveGrant,
+        messages.TakeBack,
+    )
+
+    def __init__(self, post):
+        """Open nothing until there is something to send."""
+        super().__init__(post)
+        self._client = curlclient.StreamingCurlClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+        self._exchanges = {}
+        self._tasks = set()
+
+    async def start(self):
+        """Open nothing: connections are made when they are needed."""
+
+    async def stop(self):
+        """Close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        self._client.close()
+
+    def carry_out(self, message):
+        """Send a request, a grant or a release, or stop a request."""
+        if isinstance(message, messages.Send):
+            exchange = _Exchange(self._client, message, self._ended)
+            self._exchanges[message.number, message.exchange] = exchange
+            exchange.start()
+        elif isinstance(message, messages.CancelSend):
+            key = (message.number, message.exchange)
+            exchange = self._exchanges.pop(key, None)
+            if exchange is not None:
+                exchange.cancel()
+        elif isinstance(message, messages.GiveGrant):
+            self._run(self._grant(message))
+        else:
+            self._run(self._release(message))
+
+    def _ended(self, event):
+        self._exchanges.pop((event.number, event.exchange), None)
+        self._post(event)
+
+    def _run(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _grant(self, message):
+        body = {
+            'from': message.start,
+            'to': message.end,
+            'fence': message.fence,
+            'hold_time': durations.render(message.hold_ms),
+        }
+        if message.handover:
+            body['handover'] = message.handover
+        response = await self._call(
+            message.address, '/grant', body, GRANT_TIMEOUT_MS
+        )
+        is_accepted = response.code == STATUS_OK
+        if response.code == FAILED:
+            is_accepted = None
+        self._post(messages.GrantAnswered(message.ticket, is_accepted))
+
+    async def _release(self, message):
+        body = {
+            'from': message.start,
+            'to': message.end,
+            'fence': message.fence,
+        }
+        response = await self._call(
+            message.address, '/release', body, RELEASE_TIMEOUT_MS
+        )
+        is_answered = response.code == STATUS_OK
+        handover = ''
+        if is_answered:
+            handover = response.headers.get(wire.HANDOVER, '')
+        self._post(messages.TakenBack(message.ticket, is_answered, handover))
+
+    async def _call(self, address, path, body, timeout_ms):
+        request = httpclient.HTTPRequest(
+            f'http://{address}{path}',
+            method='POST',
+            headers={'Content-Type': 'application/json'},
+            body=json.dumps(body),
+            connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
+            request_timeout=timeout_ms / MS_PER_S,
+            decompress_response=False,
+        )
+        done = asyncio.get_running_loop().create_future()
+        self._client.fetch_impl(request, done.set_result)
+        return await done
+
+
+class _Exchange:
+    """One request to the backend server."""
+
+    def __init__(self, client, message, ended):
+        self._client = client
+        self._message = message
+        self._post_end = ended
+        self._curl = None
+        self._is_done = False
+
+    def start(self):
+        """Begin to send."""
+        message = self._message
+        head = message.head
+        timeout_ms = message.time_left_ms + TIMEOUT_MARGIN_MS
+        request = httpclient.HTTPRequest(
+            f'http://{message.address}{head.target}',
+            method=head.method,
+            headers=self._fields(),
+            body=message.body or self._empty_body(),
+            allow_nonstandard_methods=True,
+            connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
+            request_timeout=timeout_ms / MS_PER_S,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=self._prepare,
+        )
+        self._client.fetch_impl(request, self._finished)
+
+    def cancel(self):
+        """Stop without a report and close the connection."""
+        if not self._is_done:
+            self._is_done = True
+            self._client.cancel(self._curl)
+
+    def _empty_body(self):
+        return b'' if self._message.head.method in {'POST', 'PUT'} else None
+
+    def _fields(self):
+        message = self._message
+        head = message.head
+        fields = httputil.HTTPHeaders()
+        for name, text in head.fields:
+            fields.add(name, text)
+        for name in _ADDED_BY_CLIENT:
+            if name not in fields:
+                fields[name] = ''
+        fields['Host'] = head.host
+        if head.request_id:
+            fields[wire.REQUEST_ID] = head.request_id
+        if head.key is not None:
+            fields[wire.KEY] = str(head.key)
+        fields[wire.CALLER_SERVICE] = head.caller_service
+        fields[wire.EXPECTED_SERVER] = message.server_id
+        fields[wire.TIME_LEFT_MS] = str(message.time_left_ms)
+        return fields
+
+    def _prepare(self, curl):
+        if self._is_done:
+            raise httpclient.HTTPError(FAILED, 'canceled before its start')
+        self._curl = curl
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        # Handles are used again with their options, so both are always set.
+        # libcurl by itself repeats a request on a reused connection that
+        # closes before the answer; work that must not repeat gets a new one.
+        is_fresh = int(self._message.fresh_connection)
+        curl.setopt(pycurl.FRESH_CONNECT, is_fresh)
+        curl.setopt(pycurl.FORBID_REUSE, is_fresh)
+
+    def _finished(self, response):
+        if self._is_done:
+            return
+        self._is_done = True
+        self._post_end(self._event(response))
+
+    def _event(self, response):
+        if _has_failed(response):
+            phase = messages.Phase.SENT
+            if not self._curl or not self._curl.getinfo(pycurl.REQUEST_SIZE):
+                phase = messages.Phase.UNSENT
+            return self._failure(
+                phase, messages.Reason.BROKEN, str(response.error)
+            )
+        fields = response.headers
+        if wire.NOT_RUN in fields and response.code != STATUS_NOT_ASKED:
+            reason = messages.Reason.SHED
+            if response.code == STATUS_MISDIRECTED:
+                reason = messages.Reason.NOT_OWNER
+            return self._failure(
+                messages.Phase.REFUSED, reason, f'status {response.code}'
+            )
+        if response.code == STATUS_MISDIRECTED:
+            return self._failure(
+                messages.Phase.REFUSED, messages.Reason.NOT_OWNER, 'status 421'
+            )
+        problem = self._problem(response)
+        if problem:
+            return self._failure(
+                messages.Phase.SENT, messages.Reason.BROKEN, problem
+            )
+        return messages.ExchangeEnded(
+            self._message.number,
+            self._message.exchange,
+            messages.Answer(
+                response.code,
+                wire.answer_fields(fields.get_all()),
+                response.body or b'',
+            ),
+        )
+
+    def _problem(self, response):
+        """Return why the answer cannot be this request's, or nothing."""
+        fields = response.headers
+        told_id = fields.get(wire.REQUEST_ID)
+        if told_id is not None and told_id != self._message.head.request_id:
+            return 'the answer belongs to another request'
+        is_success = 200 <= response.code < 300
+        if is_success and (wire.SEAL not in fields or told_id is None):
+            return 'a success without its proof'
+        if is_success and 'Content-Encoding' in fields:
+            return 'an encoded body'
+        return ''
+
+    def _failure(self, phase, reason, detail):
+        return messages.ExchangeFailed(
+            number=self._message.number,
+            exchange=self._message.exchange,
+            phase=phase,
+            reason=reason,
+            detail=detail,
+        )
+
+
+def _has_failed(response):
+    # A status that is no success also comes as an error, of the base class;
+    # libcurl's failures and those of the set-up are of other classes.
+    return type(response.error) not in {type(None), httpclient.HTTPClientError}
--- /dev/null
+++ b/laburnumlatch/platform/configrows.py
@@ -0,0 +1,95 @@
+"""The operator's configuration, decoded to the product's types."""
+
+import json
+
+from laburnumlatch import errors
+from laburnumlatch.mesh import routes
+from laburnumlatch.platform import durations
+
+_KINDS = {
+    'safe': routes.Kind.SAFE,
+    'non_idempotent': routes.Kind.ONCE,
+    'upload': routes.Kind.UPLOAD,
+}
+DEFAULT_CONNECTIONS = 100
+_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
+
+
+def decode(body):
+    """Return `routes.Configuration`; raise `errors.InvalidInputError`."""
+    try:
+        document = json.loads(body)
+        return routes.Configuration(
+            version=int(document['version']),
+            routes=tuple(_route(row) for row in _rows(document['routes'])),
+            services={
+                row['name']: _service(row)
+                for row in _rows(document['services'])
+            },
+            limits=_limits(document.get('limits') or {}),
+        )
+    except _ERRORS as error:
+        raise errors.InvalidInputError(f'configuration: {error!r}') from error
+
+
+def _rows(table):
+    """Return the rows of a table of columns as dicts, without nulls."""
+    columns = table['columns']
+    return [
+        {
+            name: entry
+            for name, entry in zip(columns, row, strict=False)
+            if entry is not None
+        }
+        for row in table['rows']
+    ]
+
+
+def _route(row):
+    if 'traffic_split' in row:
+        shares = tuple(
+            routes.Share(part['service'], part['weight'])
+            for part in row['traffic_split']
+        )
+    else:
+        shares = (routes.Share(row['service'], 1),)
+    return routes.Route(
+        name=row['name'],
+        host=row['host'].lower(),
+        prefix=row['path_prefix'],
+        # A kind that is not known must not be repeated.
+        kind=_KINDS.get(row.get('kind'), routes.Kind.ONCE),
+        shares=shares,
+        timeout_ms=_duration(row, 'timeout', None),
+        target_ms=_duration(row, 'target_latency', None),
+        priority=int(row.get('priority', routes.DEFAULT_PRIORITY)),
+        attempts=int(row.get('max_attempts', 1)),
+    )
+
+
+def _service(row):
+    return routes.Service(
+        name=row['name'],
+        health_path=row.get('health_path', '/health'),
+        connections=int(row.get('max_connections', DEFAULT_CONNECTIONS)),
+        is_divided=bool(row.get('sharded', False)),
+        warmup_ms=_duration(row, 'warmup', 0),
+    )
+
+
+def _limits(row):
+    usual = routes.Limits()
+    return routes.Limits(
+        header_bytes=int(row.get('max_header_bytes', usual.header_bytes)),
+        body_bytes=int(row.get('max_body_bytes', usual.body_bytes)),
+        header_timeout_ms=_duration(
+            row, 'header_timeout', usual.header_timeout_ms
+        ),
+        idle_timeout_ms=_duration(row, 'idle_timeout', usual.idle_timeout_ms),
+    )
+
+
+def _duration(row, name, default):
+    if name not in row:
+        return default
+    return durations.parse(row[name])
--- /dev/null
+++ b/laburnumlatch/platform/controlfront.py
@@ -0,0 +1,136 @@
+"""Front ends for the platform's status question and the backend server."""
+
+import asyncio
+import json
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from laburnumlatch import errors
+from laburnumlatch import frontends
+from laburnumlatch import logs
+from laburnumlatch import metrics
+from laburnumlatch import settings
+from laburnumlatch.mesh import messages
+from laburnumlatch.platform import announcements
+
+STATUS_OK = 200
+STATUS_BAD = 400
+STATUS_NOT_READY = 503
+MAX_BODY_BYTES = 65_536
+BACKLOG = 256
+
+_log = logs.logger('control')
+
+
+class ReadyHandler(web.RequestHandler):
+    """`GET /ready`: whether callers on this host may send new work."""
+
+    def initialize(self, world):
+        """Ask `world`."""
+        self._world = world
+
+    def get(self):
+        """Answer 200 or 503."""
+        is_ready = self._world.is_ready
+        self.set_status(STATUS_OK if is_ready else STATUS_NOT_READY)
+
+
+class MetricsHandler(web.RequestHandler):
+    """`GET /metrics`: counters and latencies as text."""
+
+    def initialize(self, world):
+        """Ask `world`."""
+        self._world = world
+
+    def get(self):
+        """Write what has been counted."""
+        self.set_header('Content-Type', 'text/plain')
+        self.finish(metrics.as_text(self._world))
+
+
+class RpcHandler(web.RequestHandler):
+    """Calls of the backend server: announcements and deregistration."""
+
+    def initialize(self, front):
+        """Hand what is decoded to `front`."""
+        self._front = front
+
+    async def post(self):
+        """Decode the call, and answer when the systems have decided."""
+        call = self.get_query_argument('call', '')
+        server_id = self.get_query_argument('of', '')
+        try:
+            told = announcements.decode(call, server_id, self.request.body)
+        except errors.InvalidInputError as error:
+            _log.warning('call={} of={} refused: {}', call, server_id, error)
+            self.set_status(STATUS_BAD)
+            return
+        is_accepted = await self._front.ask(told)
+        if not is_accepted:
+            self.set_status(STATUS_BAD)
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps({}))
+
+
+class ControlFront(frontends.FrontEnd):
+    """The addresses for status questions, announcements and metrics."""
+
+    kinds = (messages.AnnouncementAnswered,)
+
+    def __init__(self, post, world):
+        """Answer from `world`."""
+        super().__init__(post)
+        self._world = world
+        self._asked = {}
+        self._last = 0
+        self._servers = []
+
+    async def start(self):
+        """Listen; raise OSError if an address cannot be had."""
+        own = self._world.settings
+        ask = {'world': self._world}
+        self._listen(own.ready_address, [(r'/ready', ReadyHandler, ask)])
+        self._listen(
+            own.control_address, [(r'/rpc', RpcHandler, {'front': self})]
+        )
+        if own.metrics_address:
+            self._listen(
+                own.metrics_address, [(r'/metrics', MetricsHandler, ask)]
+            )
+
+    async def stop(self):
+        """Close all connections."""
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+
+    async def ask(self, told):
+        """Return whether the systems accept an announcement."""
+        self._last += 1
+        self._asked[self._last] = asyncio.get_running_loop().create_future()
+        self._post(told(self._last))
+        return await self._asked[self._last]
+
+    def carry_out(self, message):
+        """Answer an announcement."""
+        asked = self._asked.pop(message.ask, None)
+        if asked is not None and not asked.done():
+            asked.set_result(message.is_accepted)
+
+    def _listen(self, address, handlers):
+        ip_text, port = settings.split_address(address)
+        server = httpserver.HTTPServer(
+            web.Application(handlers, log_function=_log_nothing),
+            max_body_size=MAX_BODY_BYTES,
+        )
+        server.add_sockets(
+            netutil.bind_sockets(port, ip_text, backlog=BACKLOG),
+        )
+        self._servers.append(server)
+
+
+def _log_nothing(_handler):
+    """Leave logging to the systems."""
--- /dev/null
+++ b/laburnumlatch/platform/durations.py
@@ -0,0 +1,25 @@
+"""Durations as the platform writes them: a number and `ms` or `s`."""
+
+import math
+import re
+
+from laburnumlatch import errors
+
+MS_PER_S = 1000
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+
+
+def parse(text):
+    """Return `text` in whole ms; raise `errors.InvalidInputError`."""
+    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise errors.InvalidInputError(f'{text!r} is no duration')
+    number = float(match.group(1))
+    if match.group(2) == 's':
+        number *= MS_PER_S
+    return math.floor(number)
+
+
+def render(duration_ms):
+    """Return whole ms as the platform writes them."""
+    return f'{int(duration_ms)}ms'
--- /dev/null
+++ b/laburnumlatch/platform/runner.py
@@ -0,0 +1,87 @@
+"""Builds an agent from the platform's settings and runs it."""
+
+import asyncio
+import itertools
+import secrets
+import signal
+
+from laburnumlatch import clock
+from laburnumlatch import datagrams
+from laburnumlatch import engine
+from laburnumlatch import logs
+from laburnumlatch import storelink
+from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import peerlink
+from laburnumlatch.mesh import ticks
+from laburnumlatch.mesh import world as worlds
+from laburnumlatch.platform import backendclient
+from laburnumlatch.platform import callerfront
+from laburnumlatch.platform import configlink
+from laburnumlatch.platform import controlfront
+from laburnumlatch.platform import tablestore
+
+SEED_BITS = 48
+
+_log = logs.logger('agent')
+
+
+class Runner:
+    """One agent: its world, its front ends and the loop that joins them."""
+
+    def __init__(self, settings):
+        """Build the agent inside a running loop."""
+        time_source = clock.BoottimeClock()
+        self._world = worlds.create(
+            settings, secrets.randbits(SEED_BITS), time_source.now()
+        )
+        self._engine = engine.Engine(self._world, ticks.tick, time_source)
+        numbers = itertools.count(1)
+        post = self._engine.post
+        store = tablestore.TableStore(settings.store_address)
+        self._callers = callerfront.CallerFront(post, settings, numbers)
+        self._front_ends = [
+            self._callers,
+            controlfront.ControlFront(post, self._world),
+            datagrams.Datagrams(post, settings.peer_address, leasemsg),
+            peerlink.PeerLink(
+                post,
+                settings.peer_address,
+                settings.host_id,
+                numbers,
+                time_source,
+            ),
+            backendclient.BackendClient(post),
+            configlink.ConfigLink(post, store),
+            storelink.StoreLink(post, store),
+        ]
+        self._engine.register_front_ends(self._front_ends)
+        self._stopped = asyncio.Event()
+        self._engine.register(messages.Stopped, self._note_stopped)
+
+    async def run(self):
+        """Serve until SIGTERM, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        for front_end in self._front_ends:
+            await front_end.start()
+        own = self._world.settings
+        _log.info('start host={} service={}', own.host_id, own.service)
+        self._engine.wake()
+        await self._stopped.wait()
+        _log.info('stop host={}', own.host_id)
+        for front_end in self._front_ends:
+            await front_end.stop()
+
+    def _stop(self):
+        self._callers.is_stopping = True
+        self._engine.post(messages.Stopping())
+
+    def _note_stopped(self, _message):
+        self._stopped.set()
+
+
+async def serve(settings):
+    """Run an agent until it is told to stop."""
+    await Runner(settings).run()
--- /dev/null
+++ b/laburnumlatch/platform/tablestore.py
@@ -0,0 +1,157 @@
+"""The platform's store as the product's `store.Store`.
+
+A key of the product is `TABLE/KEY`; all its rows have the empty part, so that
+a transaction can hold any of them.
+"""
+
+import base64
+import json
+from urllib import parse as urlparse
+
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from laburnumlatch import docmsg
+from laburnumlatch import errors
+from laburnumlatch import store
+
+CONNECT_TIMEOUT_MS = 600
+# A slow store takes about 60 times as long as the 8 ms of a transaction.
+TIMEOUT_MS = 1500
+# The store may answer a watch this much later than it was asked to.
+WATCH_MARGIN_MS = 1500
+MS_PER_S = 1000
+STATUS_OK = 200
+STATUS_CONFLICT = 412
+STATUS_GONE = 410
+MAX_CLIENTS = 12
+
+
+class TableStore(store.Store):
+    """Rows over HTTP; the one client of the store in this process."""
+
+    def __init__(self, address):
+        """Use the store at `address`, an `ip:port`."""
+        self._base = f'http://{address}'
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    def close(self):
+        """Close all connections."""
+        self._client.close()
+
+    async def get(self, key):
+        """Return the row under `key`; raise `errors.NotFoundError`."""
+        for row in (await self.read(key)).rows:
+            if row.key == key:
+                return row
+        raise errors.NotFoundError(key)
+
+    async def scan(self, prefix, after=0):
+        """Return the rows under `prefix` with a version above `after`."""
+        changes = await self.read(prefix)
+        return tuple(row for row in changes.rows if row.version > after)
+
+    async def read(self, table):
+        """Return `docmsg.Changes` with all rows under a prefix."""
+        name, _, start = table.partition('/')
+        found = []
+        version = None
+        while True:
+            query = {'table': name, 'part': '', 'from': start}
+            document = await self._call('/rows-get', query)
+            rows = [_row(fields) for fields in document['rows']]
+            found.extend(rows)
+            # Rows of later pages may be newer; a watch then repeats them.
+            version = document['ver'] if version is None else version
+            if not document['has_more'] or not rows:
+                break
+            # The least key that is greater than the last one.
+            start = rows[-1].key.partition('/')[2] + '\0'
+        own = tuple(row for row in found if row.key.startswith(table))
+        return docmsg.Changes(own, version)
+
+    async def watch(self, table, after, wait_ms):
+        """Return `docmsg.Changes` newer than `after`, or none in `wait_ms`."""
+        query = {
+            'table': table.rstrip('/'),
+            'after': after,
+            'wait_ms': wait_ms,
+        }
+        document = await self._call(
+            '/rows-feed', query, timeout_ms=wait_ms + WATCH_MARGIN_MS
+        )
+        rows = tuple(
+            _row(fields)
+            for fields in document['rows']
+            if not fields.get('removed')
+        )
+        return docmsg.Changes(rows, document['ver'])
+
+    async def transact(self, writes, guards=()):
+        """Write all rows or none; return the version they all get."""
+        conditions = [
+            *((write.key, write.expected_version) for write in writes),
+            *guards,
+        ]
+        body = json.dumps({
+            'precondition': [
+                {**_place(key), 'ver': version} for key, version in conditions
+            ],
+            'writes': [
+                {
+                    **_place(write.key),
+                    'value': base64.b64encode(write.body).decode(),
+                }
+                for write in writes
+            ],
+            'remove': [],
+        })
+        document = await self._call('/rows-tx', {}, method='POST', body=body)
+        return document['ver']
+
+    async def _call(self, path, query, timeout_ms=TIMEOUT_MS, **options):
+        url = self._base + path
+        if query:
+            url = f'{url}?{urlparse.urlencode(query)}'
+        if 'body' in options:
+            options['headers'] = {'Content-Type': 'application/json'}
+        request = httpclient.HTTPRequest(
+            url,
+            connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
+            request_timeout=timeout_ms / MS_PER_S,
+            decompress_response=False,
+            **options,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            raise errors.StoreUnavailableError(str(error)) from error
+        return _decode(response)
+
+
+def _decode(response):
+    if response.code == STATUS_CONFLICT:
+        raise errors.VersionConflictError(response.body.decode())
+    if response.code == STATUS_GONE:
+        raise errors.HistoryGoneError('history is gone')
+    if response.code != STATUS_OK:
+        raise errors.StoreUnavailableError(f'status {response.code}')
+    try:
+        return json.loads(response.body)
+    except ValueError as error:
+        raise errors.StoreUnavailableError(f'bad answer: {error}') from error
+
+
+def _place(key):
+    table, _, own_key = key.partition('/')
+    return {'table': table, 'part': '', 'key': own_key}
+
+
+def _row(fields):
+    return docmsg.StoreRow(
+        f'{fields["table"]}/{fields["key"]}',
+        fields['ver'],
+        base64.b64decode(fields['value']),
+    )
--- a/laburnumlatch/store.py
+++ b/laburnumlatch/store.py
@@ -1,6 +1,7 @@
 """The platform's table service, behind one interface."""
 
 import abc
+import asyncio
 import base64
 import json
 from urllib import parse as urlparse
@@ -13,6 +14,8 @@
 from laburnumlatch import errors
 
 TIMEOUT_MS = 2000
+# Of stores that cannot wait for a change themselves.
+POLL_MS = 500
 MS_PER_S = 1000
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -44,15 +47,36 @@
         """Return rows under `prefix` with a version above `after`."""
 
     @abc.abstractmethod
-    async def transact(self, writes):
+    async def transact(self, writes, guards=()):
         """Write all rows or none; return the version they all get.
 
-        Raises `errors.VersionConflictError` if any version differs.
+        `guards` are (key, version) of rows that are not written but must
+        have that version; 0: no row. Raises `errors.VersionConflictError`
+        if any version differs.
         """
 
-    async def put(self, key, body, expected_version):
+    async def put(self, key, body, expected_version, guards=()):
         """Write one row and return its new version."""
-        return await self.transact((Write(key, body, expected_version),))
+        write = Write(key, body, expected_version)
+        return await self.transact((write,), guards)
+
+    async def read(self, table):
+        """Return `docmsg.Changes` with all rows under a table's prefix."""
+        return _changes(await self.scan(table), 0)
+
+    async def watch(self, table, after, wait_ms):
+        """Return `docmsg.Changes` newer than `after`, or none in `wait_ms`.
+
+        Raises `errors.HistoryGoneError` if changes since `after` are no
+        longer known, so that all rows have to be read.
+        """
+        waited_ms = 0
+        while True:
+            found = await self.scan(table, after)
+            if found or waited_ms >= wait_ms:
+                return _changes(found, after)
+            await asyncio.sleep(POLL_MS / MS_PER_S)
+            waited_ms += POLL_MS
 
 
 class HttpStore(Store):
@@ -81,8 +105,10 @@
         response = await self._fetch(f'/rows?{query}')
         return tuple(_row(fields) for fields in _decode(response)['rows'])
 
-    async def transact(self, writes):
+    async def transact(self, writes, guards=()):
         """Write all rows or none; return the version they all get."""
+        if guards:
+            raise errors.StoreError('this service knows no guards')
         body = json.dumps([
             {
                 'key': write.key,
@@ -109,6 +135,11 @@
             raise errors.StoreUnavailableError(str(error)) from error
 
 
+def _changes(found, after):
+    newest = max((row.version for row in found), default=after)
+    return docmsg.Changes(found, newest)
+
+
 def _decode(response):
     if response.code != HTTP_OK:
         raise errors.StoreUnavailableError(
--- a/laburnumlatch/storelink.py
+++ b/laburnumlatch/storelink.py
@@ -10,7 +10,12 @@
 class StoreLink(frontends.FrontEnd):
     """Carries out store messages, each in its own task of the loop."""
 
-    kinds = (docmsg.StoreScan, docmsg.StorePut)
+    kinds = (
+        docmsg.StoreScan,
+        docmsg.StorePut,
+        docmsg.StoreRead,
+        docmsg.StoreWatch,
+    )
 
     def __init__(self, post, store):
         """Talk to `store`, a `store.Store`."""
@@ -45,9 +50,21 @@
         if isinstance(message, docmsg.StoreScan):
             found = await self._store.scan(message.prefix, message.after)
             return docmsg.StoreScanned(message.ticket, found)
+        if isinstance(message, docmsg.StoreRead):
+            return _read(message, await self._store.read(message.table))
+        if isinstance(message, docmsg.StoreWatch):
+            changes = await self._store.watch(
+                message.table, message.after, message.wait_ms
+            )
+            return _read(message, changes)
         version = await self._store.put(
             message.key,
             message.body,
             message.expected_version,
+            message.guards,
         )
         return docmsg.StoreWritten(message.ticket, version)
+
+
+def _read(message, changes):
+    return docmsg.StoreChanges(message.ticket, changes.rows, changes.version)
--- a/scripts/stub.c
+++ b/scripts/stub.c
@@ -5,7 +5,7 @@
    file or the target of a link. The trailer is TRAILER_BYTES long:
    "LBLATCH1 <offset of the first entry, 16 digits> <hash, 16 digits>\n".
 
-   It unpacks into memory-backed storage under a name with the hash of the
+   It unpacks into the directory for temporary files under a name with the hash of the
    contents, so that later starts find it there. It unpacks elsewhere and
    renames, so that two starts at once never see half of it. exec keeps the
    process: no other one is started. */
@@ -105,7 +105,7 @@
         strcmp(magic, "LBLATCH1") != 0)
         fail("no trailer");
     snprintf(place, sizeof place, "%s/laburnumlatch-%u-%s",
-             base ? base : "/dev/shm", geteuid(), hash);
+             base ? base : "/tmp", geteuid(), hash);
     if (!is_own(place)) {
         snprintf(fresh, sizeof fresh, "%s.XXXXXX", place);
         if (!mkdtemp(fresh)) fail(fresh);
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -27,7 +27,7 @@
         await self._give_way()
         return tuple(self.newer_than(after))
 
-    async def transact(self, writes):
+    async def transact(self, writes, guards=()):
         await self._give_way()
         return self.write(writes)
 
