--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -9,6 +9,7 @@
 
 from laburnumlatch import curlclient
 from laburnumlatch import frontends
+from laburnumlatch import logs
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import durations
 from laburnumlatch.platform import wire
@@ -29,6 +30,8 @@
 # Fields that libcurl adds by itself unless they are set to nothing.
 _ADDED_BY_CLIENT = ('Accept', 'User-Agent', 'Content-Type')
 
+_log = logs.logger('backend')
+
 
 class BackendClient(frontends.FrontEnd):
     """Talks to the one backend server beside this agent."""
@@ -119,15 +122,20 @@
         request = httpclient.HTTPRequest(
             f'http://{address}{path}',
             method='POST',
-            headers={'Content-Type': 'application/json'},
+            headers=httputil.HTTPHeaders({'Content-Type': 'application/json'}),
             body=json.dumps(body),
             connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
             request_timeout=timeout_ms / MS_PER_S,
+            follow_redirects=False,
+            max_redirects=0,
             decompress_response=False,
         )
         done = asyncio.get_running_loop().create_future()
         self._client.fetch_impl(request, done.set_result)
-        return await done
+        response = await done
+        if response.code == FAILED:
+            _log.warning('call={} failed: {}', path, response.error)
+        return response
 
 
 class _Exchange:
@@ -154,6 +162,7 @@
             connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
             request_timeout=timeout_ms / MS_PER_S,
             follow_redirects=False,
+            max_redirects=0,
             decompress_response=False,
             prepare_curl_callback=self._prepare,
         )
