Make the new packages clean for formatter and linter

Messages about the backend server have their own module; the choice of moves is split into small steps.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -54,9 +54,7 @@
     """Learn how long the backend server took for a request."""
     took_ms = max(1, now - request.started)
     known = work_ms(world, request.route)
-    world.work_times.put(
-        request.route, known + WORK_WEIGHT * (took_ms - known)
-    )
+    world.work_times.put(request.route, known + WORK_WEIGHT * (took_ms - known))
     world.report.busy_ms += took_ms
     world.report.done += 1
 
@@ -121,5 +119,5 @@
 
 
 def _mean_work_ms(world):
-    means = [world.work_times.get(route) for route in world.work_times.keys()]
+    means = tuple(world.work_times)
     return sum(means) / len(means) if means else DEFAULT_WORK_MS
--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -16,6 +16,11 @@
 # Load that a key range with no requests counts for, in requests a second: an
 # unseen key may become busy.
 IDLE_RATE = 0.001
+# Keeps a service without any load from being divided by zero.
+MIN_RATE = 1e-9
+# A part is moved if its load lies between these parts of what should move.
+MOST_OF_WANTED = 1.1
+LEAST_OF_WANTED = 0.1
 
 
 @attrs.define(frozen=True)
@@ -52,12 +57,13 @@
 
 def use_by_host(pieces, by_cell, candidates):
     """Return load over capacity for each candidate, relative to the mean."""
-    loads = {one.host_id: 0.0 for one in candidates}
+    loads = {one.host_id: 0 for one in candidates}
     for piece in pieces:
-        if piece.host_id in loads:
-            loads[piece.host_id] += load_of(piece, by_cell)
+        loads[piece.host_id] = loads.get(piece.host_id, 0) + load_of(
+            piece, by_cell
+        )
     capacity = sum(one.capacity for one in candidates)
-    mean = max(sum(loads.values()) / capacity, 1e-9)
+    mean = max(sum(loads.values()) / capacity, MIN_RATE)
     return {
         one.host_id: loads[one.host_id] / one.capacity / mean
         for one in candidates
@@ -84,6 +90,16 @@
     return tuple(found)
 
 
+@attrs.define(frozen=True, order=True)
+class _Part:
+    """Keys that could move; `miss` is how far their load is from the aim."""
+
+    miss: float
+    start: int
+    end: int
+    load: float
+
+
 class _State:
     """Load by host while moves are being chosen."""
 
@@ -91,17 +107,15 @@
         self._by_cell = by_cell
         self._capacity = {one.host_id: one.capacity for one in candidates}
         self._pieces = {one.host_id: [] for one in candidates}
-        self._loads = {one.host_id: 0.0 for one in candidates}
+        self._loads = {one.host_id: 0 for one in candidates}
         for piece in pieces:
             if piece.host_id not in self._loads:
                 continue
             self._loads[piece.host_id] += load_of(piece, by_cell)
             if not piece.former:
                 self._pieces[piece.host_id].append((piece.start, piece.end))
-        self._mean = max(
-            sum(self._loads.values()) / sum(self._capacity.values()),
-            1e-9,
-        )
+        capacity = sum(self._capacity.values())
+        self._mean = max(sum(self._loads.values()) / capacity, MIN_RATE)
 
     def highest(self):
         """Return the host with most load over capacity, and how much."""
@@ -110,74 +124,81 @@
 
     def next_move(self):
         """Take the best part of the busiest host's keys; None if none fits."""
-        source, _use = self.highest()
+        source = max(self._loads, key=self._use)
         target = min(self._loads, key=self._use)
         excess = self._loads[source] - self._mean * self._capacity[source]
         room = self._mean * self._capacity[target] - self._loads[target]
-        wanted = min(excess, room)
-        best = None
-        for piece in self._pieces[source]:
-            part = self._part(piece, wanted)
-            if part is not None and (best is None or part[0] < best[0]):
-                best = (*part, piece)
-        if best is None:
+        parts = [
+            part
+            for keys in self._pieces[source]
+            for part in self._parts(keys, min(excess, room))
+        ]
+        if not parts:
             return None
-        _miss, start, end, load, piece = best
-        self._take(source, target, piece, (start, end), load)
-        return Move(start, end, target)
+        best = min(parts)
+        self._take(source, target, best)
+        return Move(best.start, best.end, target)
 
     def _use(self, host_id):
         return self._loads[host_id] / self._capacity[host_id] / self._mean
 
-    def _part(self, piece, wanted):
-        """Return (miss, start, end, load) of an end of `piece`, or None.
-
-        The part is a run of whole cells from the start of the piece whose
-        load comes near to `wanted`, or the same from its end.
-        """
-        options = []
-        cells = range(cell_of(piece[0]), cell_of(piece[1]) + 1)
-        for run, from_start in ((cells, True), (reversed(cells), False)):
-            load = 0.0
+    def _parts(self, keys, wanted):
+        """Return parts of a range whose load comes near to `wanted`."""
+        cells = range(cell_of(keys[0]), cell_of(keys[1]) + 1)
+        found = []
+        first, load = self._run(cells, wanted)
+        if first is not None:
+            end = min((first + 1) * KEYS_PER_CELL - 1, keys[1])
+            found.append(_Part(abs(wanted - load), keys[0], end, load))
+        last, load = self._run(reversed(cells), wanted)
+        if last is not None:
+            start = max(last * KEYS_PER_CELL, keys[0])
+            found.append(_Part(abs(wanted - load), start, keys[1], load))
+        return found or self._fullest_cell(keys, cells, wanted)
+
+    def _run(self, cells, wanted):
+        """Return the last cell of a run with about `wanted` load, and that."""
+        load = 0
+        last = None
+        for cell in cells:
+            rate = self._rate(cell)
+            if load + rate > wanted * MOST_OF_WANTED:
+                break
+            load += rate
+            last = cell
+        if load < wanted * LEAST_OF_WANTED:
             last = None
-            for cell in run:
-                rate = self._by_cell.get(cell, 0) + IDLE_RATE
-                if load + rate > wanted * 1.1:
-                    break
-                load += rate
-                last = cell
-            if last is not None and load > wanted * 0.1:
-                options.append((abs(wanted - load), last, load, from_start))
-        if not options:
-            return self._hot_cell(piece, wanted)
-        miss, last, load, from_start = min(options)
-        if from_start:
-            end = min((last + 1) * KEYS_PER_CELL - 1, piece[1])
-            return miss, piece[0], end, load
-        return miss, max(last * KEYS_PER_CELL, piece[0]), piece[1], load
-
-    def _hot_cell(self, piece, wanted):
+        return last, load
+
+    def _fullest_cell(self, keys, cells, wanted):
         """Return the fullest cell that still helps where it goes."""
-        cells = range(cell_of(piece[0]), cell_of(piece[1]) + 1)
-        fits = [
-            (self._by_cell.get(cell, 0), cell)
+        rates = [
+            (self._rate(cell), cell)
             for cell in cells
-            if self._by_cell.get(cell, 0) <= wanted * 1.1
+            if self._rate(cell) <= wanted * MOST_OF_WANTED
         ]
-        if not fits:
-            return None
-        rate, cell = max(fits)
-        if rate < wanted * 0.05:
-            return None
-        start = max(cell * KEYS_PER_CELL, piece[0])
-        end = min((cell + 1) * KEYS_PER_CELL - 1, piece[1])
-        return wanted - rate, start, end, rate
-
-    def _take(self, source, target, piece, part, load):
-        self._loads[source] -= load
-        self._loads[target] += load
-        self._pieces[source].remove(piece)
-        if piece[0] < part[0]:
-            self._pieces[source].append((piece[0], part[0] - 1))
-        if part[1] < piece[1]:
-            self._pieces[source].append((part[1] + 1, piece[1]))
+        if not rates:
+            return []
+        rate, cell = max(rates)
+        if rate < wanted * LEAST_OF_WANTED:
+            return []
+        start = max(cell * KEYS_PER_CELL, keys[0])
+        end = min((cell + 1) * KEYS_PER_CELL - 1, keys[1])
+        return [_Part(abs(wanted - rate), start, end, rate)]
+
+    def _rate(self, cell):
+        return self._by_cell.get(cell, 0) + IDLE_RATE
+
+    def _take(self, source, target, part):
+        self._loads[source] -= part.load
+        self._loads[target] += part.load
+        kept = []
+        for start, end in self._pieces[source]:
+            if end < part.start or part.end < start:
+                kept.append((start, end))
+                continue
+            if start < part.start:
+                kept.append((start, part.start - 1))
+            if part.end < end:
+                kept.append((part.end + 1, end))
+        self._pieces[source] = kept
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -11,7 +11,7 @@
 
 _LENGTH = struct.Struct('>I')
 # The largest body of a request, and room for its head.
-MAX_FRAME_BYTES = 72 * 1024 * 1024
+MAX_FRAME_BYTES = 75_497_472
 
 _log = logs.logger('peers')
 _codec = wire.Codec(peermsg.KINDS)
@@ -52,7 +52,7 @@
         start = 0
         found = []
         while len(self._buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer, start)
+            length = _LENGTH.unpack_from(self._buffer, start)[0]
             if length > MAX_FRAME_BYTES:
                 raise errors.WireError(f'frame of {length} bytes')
             end = start + _LENGTH.size + length
@@ -61,5 +61,5 @@
             body = bytes(self._buffer[start + _LENGTH.size : end])
             found.append(_codec.decode(body))
             start = end
-        del self._buffer[:start]
+        self._buffer = self._buffer[start:]
         return found
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -6,9 +6,9 @@
 """
 
 from laburnumlatch import logs
-from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leasemsg
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
 
 # The backend server's clock may run 2 % slow, so it must be told less time
@@ -21,6 +21,7 @@
 RETRY_MS = 200
 HANDOVER_REPEAT_MS = 150
 HANDOVER_KEPT_MS = 30_000
+MAX_RECEIVED = 200
 # Work starts only if the grant lasts this long: it would end in an error.
 MIN_LEFT_MS = 100
 
@@ -29,9 +30,9 @@
 
 def run(world, now):
     """Grant, renew and release until the backend server holds its pieces."""
-    for granted in world.inbox.take(messages.GrantAnswered):
+    for granted in world.inbox.take(backendmsg.GrantAnswered):
         _granted(world, granted, now)
-    for taken in world.inbox.take(messages.TakenBack):
+    for taken in world.inbox.take(backendmsg.TakenBack):
         _taken_back(world, taken, now)
     _handovers(world, now)
     backend = world.backend
@@ -84,6 +85,13 @@
     )
 
 
+def _by_ticket(world, ticket):
+    for holding in world.holdings:
+        if holding.ticket == ticket:
+            return holding
+    return None
+
+
 def _is_own(world, piece, backend):
     return piece.host_id == world.host_id and piece.life == backend.life
 
@@ -97,15 +105,14 @@
 
 
 def _drop_former_life(world, backend):
-    for key in world.holdings.keys():
-        if world.holdings.get(key).life != backend.life:
+    for key, holding in world.holdings.items():
+        if holding.life != backend.life:
             world.holdings.pop(key)
 
 
 def _shrink(world, plan, backend):
     """Split holdings along the plan, and release what is not this host's."""
-    for key in world.holdings.keys():
-        holding = world.holdings.get(key)
+    for key, holding in world.holdings.items():
         is_releasing = holding.state == leaserows.HoldingState.RELEASING
         if is_releasing or holding.ticket:
             # The answer to a grant that is under way must come first.
@@ -240,11 +247,11 @@
         handover = world.handovers.get((known.start, known.end, known.fence))
         if handover is not None:
             handover.is_known = True
-    for key in world.handovers.keys():
-        if world.handovers.get(key).expires <= now:
+    for key, kept in world.handovers.items():
+        if kept.expires <= now:
             world.handovers.pop(key)
             world.timers.pop(('handover', key))
-    while len(world.received) > 200:
+    while len(world.received) > MAX_RECEIVED:
         world.received.pop(world.received.keys()[0])
 
 
@@ -273,7 +280,7 @@
     holding.sent = now
     holding.hold_ms = hold_ms
     world.outbox.post(
-        messages.GiveGrant(
+        backendmsg.GiveGrant(
             ticket=holding.ticket,
             address=backend.address,
             start=holding.start,
@@ -286,10 +293,8 @@
 
 
 def _granted(world, granted, now):
-    for holding in world.holdings:
-        if holding.ticket == granted.ticket:
-            break
-    else:
+    holding = _by_ticket(world, granted.ticket)
+    if holding is None:
         return
     holding.ticket = 0
     if granted.is_accepted:
@@ -327,7 +332,7 @@
         return
     holding.ticket = world.next_ticket()
     world.outbox.post(
-        messages.TakeBack(
+        backendmsg.TakeBack(
             ticket=holding.ticket,
             address=backend.address,
             start=holding.start,
@@ -338,11 +343,8 @@
 
 
 def _taken_back(world, taken, now):
-    for key in world.holdings.keys():
-        holding = world.holdings.get(key)
-        if holding.ticket == taken.ticket:
-            break
-    else:
+    holding = _by_ticket(world, taken.ticket)
+    if holding is None:
         return
     holding.ticket = 0
     if taken.is_answered:
@@ -355,7 +357,7 @@
         if taken.is_answered:
             holding.retry_at = end
         return
-    world.holdings.pop(key)
+    world.holdings.pop((holding.start, holding.fence))
     _log.info(
         'released start={} end={} fence={} handover={}',
         holding.start,
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -7,7 +7,6 @@
 
 from laburnumlatch.mesh import ranges
 
-
 # A lost host's keys are given away after this time; a planner that has gone
 # must be replaced within it, or owners lose their keys.
 LEASE_MS = 4000
@@ -59,7 +58,7 @@
 
 @attrs.define
 class OwnLease:
-    """This host's lease; `expires` in ms of its own clock.
+    """The lease of this host; `expires` in ms of its own clock.
 
     `answered` is when the planner last answered, `sent` the times at which
     recent renewals were sent, by sequence.
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -3,8 +3,8 @@
 from laburnumlatch import logs
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import holdings
-from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import role
 
@@ -150,7 +150,9 @@
     lessee.life = renew.life
     lessee.slots = renew.slots
     lessee.is_leaving = renew.is_leaving
-    lessee.grants_end = now + int(renew.grants_end_ms * leaserows.LATEST_END_RATE)
+    lessee.grants_end = now + int(
+        renew.grants_end_ms * leaserows.LATEST_END_RATE
+    )
     lessee.has_store = renew.has_store
     lessee.plan_version = renew.plan_version
     lessee.wait_ms = renew.wait_ms
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -15,10 +15,10 @@
 
 def run(world, now):
     """Serve on after the signal to stop, and say when all is done."""
-    for _told in world.inbox.take(messages.Stopping):
-        if world.stopping_since is None:
-            _log.info('stopping requests={}', len(world.requests))
-            world.stopping_since = now
+    is_told = bool(world.inbox.take(messages.Stopping))
+    if is_told and world.stopping_since is None:
+        _log.info('stopping requests={}', len(world.requests))
+        world.stopping_since = now
     since = world.stopping_since
     if since is None:
         return
@@ -30,5 +30,4 @@
 
 
 def _is_done(world):
-    own = any(holding.fence for holding in world.holdings)
-    return not len(world.requests) and not own
+    return not len(world.requests) and not len(world.holdings)
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -4,8 +4,8 @@
 from laburnumlatch import errors
 from laburnumlatch import logs
 from laburnumlatch import wire
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leaserows
-from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
 
@@ -40,7 +40,7 @@
     for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
         world.own_row_version = written.version
         world.timers.pop(ROW_TICKET)
-    for _refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+    if world.inbox.take_answers(docmsg.StoreRefused, TICKET):
         _rescan(world)
     _announcements(world, now)
     _close(world, now)
@@ -144,12 +144,12 @@
 
 
 def _announcements(world, now):
-    for told in world.inbox.take(messages.BackendAnnounced):
+    for told in world.inbox.take(backendmsg.BackendAnnounced):
         is_accepted = _announced(world, told, now)
         world.outbox.post(
-            messages.AnnouncementAnswered(told.ask, is_accepted),
+            backendmsg.AnnouncementAnswered(told.ask, is_accepted),
         )
-    for left in world.inbox.take(messages.BackendLeft):
+    for left in world.inbox.take(backendmsg.BackendLeft):
         backend = world.backend
         is_accepted = (
             backend is not None and backend.life.server_id == left.server_id
@@ -157,7 +157,7 @@
         if is_accepted:
             _begin_closing(world, now)
         world.outbox.post(
-            messages.AnnouncementAnswered(left.ask, is_accepted=True),
+            backendmsg.AnnouncementAnswered(left.ask, is_accepted=True),
         )
 
 
@@ -213,10 +213,9 @@
 
 
 def _close(world, now):
-    backend = world.backend
-    if backend is not None and backend.closing_at is not None:
-        if now < backend.closing_at:
-            world.wake_at(backend.closing_at)
+    closing_at = None if world.backend is None else world.backend.closing_at
+    if closing_at is not None and now < closing_at:
+        world.wake_at(closing_at)
 
 
 def _write_own_row(world, now):
@@ -243,7 +242,5 @@
 def live_hosts(world):
     """Return the hosts whose rows do not say that they have left."""
     return [
-        host
-        for host in world.hosts
-        if host.record.state != rows.HostState.LEFT
+        host for host in world.hosts if host.record.state != rows.HostState.LEFT
     ]
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -172,10 +172,10 @@
     requests.release(world, request)
     request.tried.append(request.host_id)
     verdict = failed.verdict or messages.Verdict.UNKNOWN
+    is_own = not request.sender and verdict == messages.Verdict.UNKNOWN
     is_allowed = (
-        request.is_safe
-        and not request.sender
-        and verdict == messages.Verdict.UNKNOWN
+        is_own
+        and request.is_safe
         and len(request.tried) < request.attempts
         and now + MIN_REPEAT_MS < request.deadline
     )
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -117,12 +117,14 @@
         start = world.rng.random()
         credit = world.split_credits.put(
             credits_key,
-            {share.service: start * share.weight for share in route.shares},
+            dict.fromkeys((one.service for one in route.shares), start),
         )
-    for share in route.shares:
-        credit[share.service] += share.weight
+    total = 0
+    for part in route.shares:
+        credit[part.service] += part.weight
+        total += part.weight
     chosen = max(credit, key=credit.get)
-    credit[chosen] -= sum(share.weight for share in route.shares)
+    credit[chosen] -= total
     return chosen
 
 
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -122,8 +122,10 @@
             plan.pieces, self._by_cell, candidates
         )
         self._total = max(
-            sum(balancing.load_of(piece, self._by_cell) for piece in plan.pieces),
-            1e-9,
+            sum(
+                balancing.load_of(piece, self._by_cell) for piece in plan.pieces
+            ),
+            balancing.MIN_RATE,
         )
 
     def renewed(self, piece):
@@ -241,14 +243,17 @@
             lessee.slots / known.get(lessee.host_id, usual),
         )
         for lessee in sorted(world.lessees, key=lambda one: one.host_id)
-        if lessee.service == service
-        and lessee.life is not None
-        and lessee.slots
-        and not lessee.is_leaving
-        and now < lessee.heard + SILENT_MS
+        if lessee.service == service and _is_usable(lessee, now)
     ]
 
 
+def _is_usable(lessee, now):
+    has_backend = lessee.life is not None and lessee.slots > 0
+    return (
+        has_backend and not lessee.is_leaving and now < lessee.heard + SILENT_MS
+    )
+
+
 def _learn(world, lessee):
     reports = lessee.reports
     if not reports:
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -52,14 +52,14 @@
     pieces: tuple[Piece, ...]
     _starts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
 
-    @_starts.default
-    def _collect_starts(self):
-        return tuple(piece.start for piece in self.pieces)
-
     def piece_of(self, key):
         """Return the piece that covers `key`."""
         return self.pieces[bisect.bisect_right(self._starts, key) - 1]
 
+    @_starts.default
+    def _collect_starts(self):
+        return tuple(piece.start for piece in self.pieces)
+
 
 def overlap(first, second):
     """Return the common (start, end) of two ranges, or None."""
@@ -83,9 +83,7 @@
     """Return the pieces, cut so that each key of `cuts` starts one."""
     result = []
     for piece in pieces:
-        inside = sorted({
-            cut for cut in cuts if piece.start < cut <= piece.end
-        })
+        inside = sorted({cut for cut in cuts if piece.start < cut <= piece.end})
         starts = [piece.start, *inside]
         ends = [*(cut - 1 for cut in inside), piece.end]
         result.extend(
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -4,8 +4,8 @@
 from laburnumlatch import errors
 from laburnumlatch import logs
 from laburnumlatch import wire
-from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 
 TABLE = 'roles/'
@@ -97,7 +97,7 @@
         _read(world, read, now)
     for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
         _written(world, written, now)
-    for _refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+    if world.inbox.take_answers(docmsg.StoreRefused, TICKET):
         world.role.pending = ''
         _ask(world, now)
     for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
--- a/laburnumlatch/mesh/routes.py
+++ b/laburnumlatch/mesh/routes.py
@@ -83,10 +83,6 @@
         init=False, repr=False, eq=False
     )
 
-    @_by_place.default
-    def _index(self):
-        return {(route.host, route.prefix): route for route in self.routes}
-
     def match(self, host, path):
         """Return the route with the longest prefix of `path`, or None.
 
@@ -101,3 +97,7 @@
                 return route
             end = path.rfind('/', 0, end - 1) + 1
         return None
+
+    @_by_place.default
+    def _index(self):
+        return {(route.host, route.prefix): route for route in self.routes}
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -2,15 +2,16 @@
 
 import functools
 import json
+import types
 
 from laburnumlatch import errors
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.platform import durations
 
 HEARTBEAT = 'instances.heartbeat'
 DEREGISTER = 'instances.deregister'
-_IS_DRAINING = {'ready': False, 'draining': True}
+_IS_DRAINING = types.MappingProxyType({'ready': False, 'draining': True})
 _ERRORS = (ValueError, TypeError, KeyError)
 
 
@@ -23,7 +24,7 @@
     if not server_id:
         raise errors.InvalidInputError('no identity')
     if call == DEREGISTER:
-        return functools.partial(messages.BackendLeft, server_id=server_id)
+        return functools.partial(backendmsg.BackendLeft, server_id=server_id)
     if call != HEARTBEAT:
         raise errors.InvalidInputError('no such call')
     try:
@@ -34,7 +35,7 @@
 
 def _announced(server_id, document):
     return functools.partial(
-        messages.BackendAnnounced,
+        backendmsg.BackendAnnounced,
         life=ranges.Life(server_id, _whole(document, 'born')),
         service=_text(document, 'service'),
         address=_text(document, 'address'),
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -10,6 +10,7 @@
 from laburnumlatch import curlclient
 from laburnumlatch import frontends
 from laburnumlatch import logs
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import durations
 from laburnumlatch.platform import wire
@@ -24,6 +25,8 @@
 MAX_CLIENTS = 96
 FAILED = 599
 STATUS_OK = 200
+# Statuses of one kind share their hundreds.
+SUCCESS_UNIT = 100
 STATUS_NOT_ASKED = 400
 STATUS_MISDIRECTED = 421
 STATUS_CONFLICT = 409
@@ -39,8 +42,8 @@
     kinds = (
         messages.Send,
         messages.CancelSend,
-        messages.GiveGrant,
-        messages.TakeBack,
+        backendmsg.GiveGrant,
+        backendmsg.TakeBack,
     )
 
     def __init__(self, post):
@@ -72,7 +75,7 @@
             exchange = self._exchanges.pop(key, None)
             if exchange is not None:
                 exchange.cancel()
-        elif isinstance(message, messages.GiveGrant):
+        elif isinstance(message, backendmsg.GiveGrant):
             self._run(self._grant(message))
         else:
             self._run(self._release(message))
@@ -101,7 +104,7 @@
         is_accepted = response.code == STATUS_OK
         if response.code == FAILED:
             is_accepted = None
-        self._post(messages.GrantAnswered(message.ticket, is_accepted))
+        self._post(backendmsg.GrantAnswered(message.ticket, is_accepted))
 
     async def _release(self, message):
         body = {
@@ -116,7 +119,7 @@
         handover = ''
         if is_answered:
             handover = response.headers.get(wire.HANDOVER, '')
-        self._post(messages.TakenBack(message.ticket, is_answered, handover))
+        self._post(backendmsg.TakenBack(message.ticket, is_answered, handover))
 
     async def _call(self, address, path, body, timeout_ms):
         request = httpclient.HTTPRequest(
@@ -256,7 +259,7 @@
         told_id = fields.get(wire.REQUEST_ID)
         if told_id is not None and told_id != self._message.head.request_id:
             return 'the answer belongs to another request'
-        is_success = 200 <= response.code < 300
+        is_success = response.code // SUCCESS_UNIT * SUCCESS_UNIT == STATUS_OK
         if is_success and (wire.SEAL not in fields or told_id is None):
             return 'a success without its proof'
         if is_success and 'Content-Encoding' in fields:
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -10,7 +10,7 @@
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import durations
 
-VARIABLE = 'LABURNUMLATCH_BOOT'
+PATH_VARIABLE = 'LABURNUMLATCH_BOOT'
 BYTES_PER_MB = 1_000_000
 DEFAULT_MEMORY_MB = 200
 METRICS_PORT = 9464
@@ -33,9 +33,11 @@
 
 def path():
     """Return where the settings file is; raise `InvalidInputError`."""
-    named = os.environ.get(VARIABLE)
+    named = os.environ.get(PATH_VARIABLE)
     if not named:
-        raise errors.InvalidInputError(f'{VARIABLE} names no settings file')
+        raise errors.InvalidInputError(
+            f'{PATH_VARIABLE} names no settings file'
+        )
     return named
 
 
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -148,9 +148,7 @@
         self._fields = headers
         length = headers.get('Content-Length', '0')
         if length.isdecimal() and int(length) > self._front.limits.body_bytes:
-            self._refuse(
-                messages.Verdict.TOO_LARGE, messages.Reason.TOO_LARGE
-            )
+            self._refuse(messages.Verdict.TOO_LARGE, messages.Reason.TOO_LARGE)
 
     def data_received(self, chunk):
         """Keep a part of the body."""
--- a/laburnumlatch/platform/configrows.py
+++ b/laburnumlatch/platform/configrows.py
@@ -1,16 +1,17 @@
 """The operator's configuration, decoded to the product's types."""
 
 import json
+import types
 
 from laburnumlatch import errors
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import durations
 
-_KINDS = {
+_KINDS = types.MappingProxyType({
     'safe': routes.Kind.SAFE,
     'non_idempotent': routes.Kind.ONCE,
     'upload': routes.Kind.UPLOAD,
-}
+})
 DEFAULT_CONNECTIONS = 100
 _ERRORS = (ValueError, TypeError, KeyError, AttributeError)
 
@@ -46,13 +47,13 @@
 
 
 def _route(row):
-    if 'traffic_split' in row:
+    split = row.get('traffic_split')
+    if split is None:
+        shares = (routes.Share(row['service'], 1),)
+    else:
         shares = tuple(
-            routes.Share(part['service'], part['weight'])
-            for part in row['traffic_split']
+            routes.Share(part['service'], part['weight']) for part in split
         )
-    else:
-        shares = (routes.Share(row['service'], 1),)
     return routes.Route(
         name=row['name'],
         host=row['host'].lower(),
@@ -90,6 +91,7 @@
 
 
 def _duration(row, name, default):
-    if name not in row:
+    text = row.get(name)
+    if text is None:
         return default
-    return durations.parse(row[name])
+    return durations.parse(text)
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -12,7 +12,7 @@
 from laburnumlatch import logs
 from laburnumlatch import metrics
 from laburnumlatch import settings
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.platform import announcements
 
 STATUS_OK = 200
@@ -78,7 +78,7 @@
 class ControlFront(frontends.FrontEnd):
     """The addresses for status questions, announcements and metrics."""
 
-    kinds = (messages.AnnouncementAnswered,)
+    kinds = (backendmsg.AnnouncementAnswered,)
 
     def __init__(self, post, world):
         """Answer from `world`."""
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -68,7 +68,7 @@
             if not document['has_more'] or not rows:
                 break
             # The least key that is greater than the last one.
-            start = rows[-1].key.partition('/')[2] + '\0'
+            start = f'{rows[-1].key.partition("/")[2]}\0'
         own = tuple(row for row in found if row.key.startswith(table))
         return docmsg.Changes(own, version)
 
--- a/laburnumlatch/tables.py
+++ b/laburnumlatch/tables.py
@@ -26,6 +26,10 @@
         """Return a snapshot of the keys."""
         return tuple(self._rows)
 
+    def items(self):
+        """Return a snapshot of the keys with their rows."""
+        return tuple(self._rows.items())
+
     def get(self, key):
         """Return the row under `key`, or None."""
         return self._rows.get(key)
