Bind leases and plan writes to versions; deployments in memory as tests

Found by the new tests of whole deployments: (1) an owner that came back from a partition got a lease before it knew the newer plan and granted keys that others held; (2) a backend server that started again took renewals of its former life before it announced itself, and the planner gave its keys away meanwhile. Ruled out: the hold of the backend server (it ended in time). Change: a lease names the plan version it counts for; a planner reads the plans after taking the role and gives no lease to a host that loses keys by a write in doubt; grants of a former life are released before the planner acts.

--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -20,6 +20,8 @@
 RENEW_RATE = 0.3
 RETRY_MS = 200
 HANDOVER_REPEAT_MS = 150
+# The plan is looked at again after this time even if nothing has changed.
+FOLLOW_MS = 100
 HANDOVER_KEPT_MS = 30_000
 MAX_RECEIVED = 200
 # Work starts only if the grant lasts this long: it would end in an error.
@@ -30,22 +32,16 @@
 
 def run(world, now):
     """Grant, renew and release until the backend server holds its pieces."""
-    for granted in world.inbox.take(backendmsg.GrantAnswered):
-        _granted(world, granted, now)
-    for taken in world.inbox.take(backendmsg.TakenBack):
-        _taken_back(world, taken, now)
-    _handovers(world, now)
+    has_news = _take_news(world, now)
     backend = world.backend
-    plan = world.plan_of(world.settings.service)
-    if plan is None or backend is None:
+    row = world.plans.get(world.settings.service)
+    if row is None or backend is None:
         return
-    _drop_former_life(world, backend)
-    _shrink(world, plan, backend)
-    for piece in plan.pieces:
-        if _is_own(world, piece, backend) and _is_free(world, piece):
-            _extend(world, piece)
-        elif piece.former == world.host_id:
-            _let_go(world, piece, now)
+    basis = (row.row_version, backend.life)
+    is_due = world.due('holdings/follow', FOLLOW_MS, now)
+    if has_news or is_due or basis != world.holdings_basis:
+        world.holdings_basis = basis
+        _follow(world, row.plan, backend, now)
     _work(world, backend, now)
 
 
@@ -68,16 +64,45 @@
 
 
 def grants_end(world, now):
-    """Return when grants at the backend server have ended for certain."""
+    """Return when grants that the plan does not cover have ended for certain.
+
+    Those are the grants of a former life of the backend server, and all of
+    them while it does not answer.
+    """
     ends = [now]
-    if now < world.started + leaserows.latest_end_ms():
+    backend = world.backend
+    is_up = backend is not None and backend.failed_since is None
+    if not is_up:
         # Grants of an earlier process on this host may live on.
         ends.append(world.started + leaserows.latest_end_ms())
     for holding in world.holdings:
-        ends.append(_certain_end(holding))
+        if not is_up or holding.is_stale:
+            ends.append(_certain_end(holding))
     return max(ends)
 
 
+def _take_news(world, now):
+    """Take in answers and handovers; return whether there were any."""
+    granted = world.inbox.take(backendmsg.GrantAnswered)
+    for answer in granted:
+        _granted(world, answer, now)
+    taken = world.inbox.take(backendmsg.TakenBack)
+    for back in taken:
+        _taken_back(world, back, now)
+    return bool(_handovers(world, now) or granted or taken)
+
+
+def _follow(world, plan, backend, now):
+    """Bring the holdings in line with the plan."""
+    _release_former_life(world, backend)
+    _shrink(world, plan, backend)
+    for piece in plan.pieces:
+        if _is_own(world, piece, backend) and _is_free(world, piece):
+            _extend(world, piece)
+        elif piece.former == world.host_id:
+            _let_go(world, piece, now)
+
+
 def _certain_end(holding):
     return max(
         holding.granted_until + int(holding.hold_ms * SLOW_CLOCK_RATE),
@@ -104,10 +129,18 @@
     return world.received.get((piece.start, piece.end, piece.fence))
 
 
-def _drop_former_life(world, backend):
-    for key, holding in world.holdings.items():
+def _release_former_life(world, backend):
+    """Release what was granted to a former life of the backend server.
+
+    The new life may have taken a renewal before it announced itself.
+    """
+    for holding in world.holdings:
         if holding.life != backend.life:
-            world.holdings.pop(key)
+            holding.life = backend.life
+            holding.is_stale = True
+            holding.ticket = 0
+            holding.retry_at = 0
+            holding.state = leaserows.HoldingState.RELEASING
 
 
 def _shrink(world, plan, backend):
@@ -237,7 +270,8 @@
 
 
 def _handovers(world, now):
-    for told in world.inbox.take(leasemsg.HandedOver):
+    handed = world.inbox.take(leasemsg.HandedOver)
+    for told in handed:
         if told.service == world.settings.service:
             key = (told.start, told.end, told.fence)
             world.received.put(key, told.handover)
@@ -253,6 +287,7 @@
             world.timers.pop(('handover', key))
     while len(world.received) > MAX_RECEIVED:
         world.received.pop(world.received.keys()[0])
+    return handed
 
 
 def _work(world, backend, now):
@@ -260,10 +295,20 @@
     for holding in world.holdings:
         if holding.state == leaserows.HoldingState.RELEASING:
             _release(world, holding, backend, now)
-        elif now < world.lease.expires and backend.failed_since is None:
+        elif _may_grant(world, backend, now):
             _grant(world, holding, backend, now)
 
 
+def _may_grant(world, backend, now):
+    """Tell whether the lease covers the plan that this agent knows."""
+    plan = world.plan_of(world.settings.service)
+    return (
+        backend.failed_since is None
+        and now < world.lease.expires
+        and plan.version >= world.lease.plan_version
+    )
+
+
 def _grant(world, holding, backend, now):
     renew_at = holding.sent + int(holding.hold_ms * RENEW_RATE)
     due = max(holding.retry_at, renew_at)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -36,7 +36,8 @@
     was first seen with that version. As the holder: `taken` is when this
     agent took the role, `renewed` the time before its last renewal that took
     effect, `majority_at` when a majority of the hosts had last spoken to it,
-    `majority_since` when one first had.
+    `majority_since` when one first had, `has_plans` that the plans were read
+    since.
     """
 
     holder: str = ''
@@ -54,6 +55,7 @@
     pending: str = ''
     sent: int = 0
     has_store: bool = True
+    has_plans: bool = False
 
 
 @attrs.define
@@ -61,7 +63,8 @@
     """The lease of this host; `expires` in ms of its own clock.
 
     `answered` is when the planner last answered, `sent` the times at which
-    recent renewals were sent, by sequence.
+    recent renewals were sent, by sequence. The lease counts only for a host
+    that knows version `plan_version` of the plan of its service.
     """
 
     expires: int = 0
@@ -69,6 +72,7 @@
     sequence: int = 0
     sent: dict[int, int] = attrs.Factory(dict)
     planner_has_store: bool = True
+    plan_version: int = 0
 
 
 @attrs.define
@@ -109,6 +113,18 @@
     row_version: int
 
 
+@attrs.define
+class PlanWrite:
+    """A plan that the planner is writing.
+
+    `failed` is when the call ended without an answer, None before that: the
+    write may still take effect until the role's row has changed.
+    """
+
+    plan: ranges.Plan
+    failed: int | None = None
+
+
 @attrs.define
 class CellLoads:
     """Load of a service by cell of the key space, decayed; planner only.
@@ -137,7 +153,7 @@
     `granted_until` is when the last accepted grant ends, counted from before
     it was sent; `ghost_until` when a grant without an answer has ended for
     certain. `handover` is the token to pass with the first grant, `token` that
-    of a finished release.
+    of a finished release. `is_stale` ones were granted to a former life.
     """
 
     service: str
@@ -154,6 +170,7 @@
     granted_until: int = 0
     ghost_until: int = 0
     retry_at: int = 0
+    is_stale: bool = False
 
     def covers(self, key):
         """Tell whether `key` lies in the range."""
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
+from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import role
 
 RENEW_MS = 400
@@ -96,6 +97,9 @@
     world.lease.planner_has_store = lease.has_store
     if lease.valid_ms:
         world.lease.expires = max(world.lease.expires, sent + lease.valid_ms)
+        world.lease.plan_version = max(
+            world.lease.plan_version, lease.plan_version
+        )
 
 
 def _answer(world, renew, now):
@@ -108,7 +112,8 @@
         _log.warning('term {} is newer than {}', renew.term, own_role.term)
         own_role.renewed = 0
         return
-    valid_ms = leaserows.LEASE_MS if role.may_lease(own_role, now) else 0
+    valid_ms = _valid_ms(world, renew, now)
+    plan = world.plan_of(renew.service)
     lessee = _lessee(world, renew, now)
     if valid_ms:
         lessee.expires = now + leaserows.latest_end_ms()
@@ -120,6 +125,7 @@
         valid_ms=valid_ms,
         # A planner that stops lets another one take the role at once.
         has_store=own_role.has_store and world.stopping_since is None,
+        plan_version=0 if plan is None else plan.version,
     )
     if renew.host_id == world.host_id:
         _take(world, answer, now)
@@ -127,6 +133,18 @@
         world.outbox.post(leasemsg.SendDatagram(renew.address, answer))
 
 
+def _valid_ms(world, renew, now):
+    """Return how long the lease may last, 0 if none may be given."""
+    own_role = world.role
+    if not own_role.has_plans or not role.may_lease(own_role, now):
+        return 0
+    for write in world.plan_writes:
+        if planner.loses_keys(world, write.plan, renew.host_id):
+            # The write may take effect, and the host does not know it.
+            return 0
+    return leaserows.LEASE_MS
+
+
 def _redirect(world, renew):
     known = world.role
     if known.holder and renew.term < known.term:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -82,6 +82,15 @@
     )
 
 
+def take_rows(world, found):
+    """Keep what rows of the store say of hosts and plans."""
+    for row in found:
+        try:
+            _take_row(world, row)
+        except errors.WireError as error:
+            _log.error('row {} ignored: {}', row.key, error)
+
+
 def _rescan(world):
     world.timers.pop(ROW_TICKET)
     world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
@@ -108,11 +117,7 @@
     if not world.has_members:
         _log.info('members known version={}', read.version)
     world.has_members = True
-    for row in read.rows:
-        try:
-            _take_row(world, row)
-        except errors.WireError as error:
-            _log.error('row {} ignored: {}', row.key, error)
+    take_rows(world, read.rows)
     world.members_version = max(world.members_version, read.version)
 
 
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -12,6 +12,8 @@
 from laburnumlatch.mesh import role
 
 TICKET = 'plan/'
+READ_TICKET = 'plan/read/'
+READ_MS = 200
 PLAN_MS = 200
 # Load moves only this often: a move takes about a request's time.
 BALANCE_MS = 1000
@@ -29,33 +31,80 @@
 
 def run(world, now):
     """Plan every divided service while this agent holds the role."""
-    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
-        _written(world, written)
-    for kind in (docmsg.StoreRefused, docmsg.StoreFailed):
-        for answer in world.inbox.take_answers(kind, TICKET):
-            _log.warning('plan not written: {}', answer)
-            world.plan_writes.pop(answer.ticket)
-            # What is in the store now comes with the rows.
-            world.outbox.post(
-                docmsg.StoreRead(members.SCAN_TICKET, members.TABLE)
-            )
+    _answers(world, now)
     if not world.role.is_held or world.configuration is None:
         return
+    _read_if_unsure(world, now)
     for lessee in world.lessees:
         _learn(world, lessee)
     if world.due('planner/plan', PLAN_MS, now):
         _plan_all(world, now)
 
 
-def _written(world, written):
-    plan = world.plan_writes.pop(written.ticket)
-    if plan is not None:
-        members.take_plan(world, plan, written.version)
+def loses_keys(world, plan, host_id):
+    """Tell whether a host would lose keys by `plan` without its release."""
+    known = world.plan_of(plan.service)
+    if known is None:
+        return False
+    return any(
+        piece.host_id == host_id
+        and host_id not in {new.host_id, new.former}
+        and ranges.overlap(piece, new)
+        for piece in known.pieces
+        for new in plan.pieces
+    )
+
+
+def _answers(world, now):
+    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+        write = world.plan_writes.pop(written.ticket)
+        if write is not None:
+            members.take_plan(world, write.plan, written.version)
+    for refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+        _log.info('plan refused ticket={}', refused.ticket)
+        world.plan_writes.pop(refused.ticket)
+        world.role.has_plans = False
+    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        write = world.plan_writes.get(failed.ticket)
+        if write is not None:
+            write.failed = now
+    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+        _take_read(world, read)
+
+
+def _take_read(world, read):
+    """Settle what is known of the plans, and writes that had no answer."""
+    asked = int(read.ticket.removeprefix(READ_TICKET))
+    members.take_rows(world, read.rows)
+    if asked >= world.role.taken:
+        world.role.has_plans = True
+    for ticket, write in world.plan_writes.items():
+        if write.failed is not None and write.failed < asked:
+            world.plan_writes.pop(ticket)
+
+
+def _read_if_unsure(world, now):
+    """Read the plans after the role was taken, or a write had no answer.
+
+    Every plan write is bound to the version of the role's row. Once that has
+    changed, an earlier write can no longer take effect.
+    """
+    is_settled = any(
+        write.failed is not None and write.failed < world.role.renewed
+        for write in world.plan_writes
+    )
+    is_unsure = is_settled or not world.role.has_plans
+    if is_unsure and world.due('planner/read', READ_MS, now):
+        world.outbox.post(
+            docmsg.StoreRead(f'{READ_TICKET}{now}', members.PLAN_PREFIX)
+        )
 
 
 def _plan_all(world, now):
     own_role = world.role
-    is_free = not own_role.pending and not len(world.plan_writes)
+    is_free = own_role.has_plans and not own_role.pending
+    is_free = is_free and not len(world.plan_writes)
     if not is_free or not role.may_lease(own_role, now):
         return
     for service in world.configuration.services.values():
@@ -70,7 +119,7 @@
 def _write(world, plan):
     row = world.plans.get(plan.service)
     ticket = f'{TICKET}{world.next_ticket()}'
-    world.plan_writes.put(ticket, plan)
+    world.plan_writes.put(ticket, leaserows.PlanWrite(plan))
     world.outbox.post(
         docmsg.StorePut(
             ticket,
@@ -134,7 +183,7 @@
         owner = self._by_id.get(piece.host_id)
         if owner is not None and owner.life == piece.life:
             return piece
-        if owner is not None or self._is_out(piece.host_id, piece.life):
+        if self._is_out(piece.host_id, piece.life):
             return self._given(piece, piece.former)
         lessee = self._world.lessees.get(piece.host_id)
         is_leaving = (
@@ -219,9 +268,8 @@
         """
         lessee = self._world.lessees.get(host_id)
         if lessee is not None and self._now < lessee.heard + SILENT_MS:
-            if lessee.life is not None:
-                return life is not None and lessee.life != life
-            return self._now >= lessee.grants_end
+            is_same = lessee.life is not None and life in {None, lessee.life}
+            return not is_same and self._now >= lessee.grants_end
         ends = role.former_planners_end(
             self._world.role,
             self._world.lessees,
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -183,6 +183,8 @@
     role.taken = now
     role.majority_at = 0
     role.majority_since = None
+    role.has_plans = False
+    world.plan_writes.clear()
     world.lessees.clear()
     world.loads.clear()
     _log.info('planner role taken term={}', role.term)
@@ -196,6 +198,7 @@
 
 def _step_down(world):
     world.role.is_held = False
+    world.plan_writes.clear()
     world.role.pending = ''
     world.lessees.clear()
 
@@ -203,6 +206,10 @@
 def _watch(world, now):
     """Look at the row if the planner is silent; take it if it is stale."""
     lease = world.lease
+    is_followed = world.role.holder and lease.planner_has_store
+    if is_followed and now < lease.answered + SILENCE_MS:
+        world.wake_at(lease.answered + SILENCE_MS)
+        return
     patience_ms = SILENCE_MS + _rank(world) * STAGGER_MS
     if not lease.planner_has_store:
         patience_ms = _rank(world) * STAGGER_MS
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -48,6 +48,7 @@
     members_version: int = 0
     own_row_version: int = 0
     stopping_since: int | None = None
+    holdings_basis: tuple = ()
     _tickets: int = 0
 
     @property
--- /dev/null
+++ b/tests/test_mesh_ownership.py
@@ -0,0 +1,237 @@
+"""Ownership of key ranges over whole deployments in memory."""
+
+import pytest
+
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
+from tests import meshnet
+
+# Lease, its margin, and the planner's steps.
+TAKEOVER_MS = leaserows.latest_end_ms() + 1500
+# A planner that is lost with an owner: see `role.former_planners_end`.
+DOUBLE_LOSS_MS = TAKEOVER_MS + 6000
+
+
+def served(net, number):
+    """Tell whether a request was answered."""
+    return isinstance(net.outcomes[number], messages.Deliver)
+
+
+class TestStart:
+    """A deployment that starts for the first time."""
+
+    def test_all_keys_are_held_once(self):
+        """Guards against gaps and overlaps of the first plan."""
+        net = meshnet.deployment()
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_one_agent_holds_the_role(self):
+        """Guards against several planners after a race for the row."""
+        assert len(meshnet.deployment().planner()) == 1
+
+    def test_request_for_each_key_is_served(self):
+        """Guards against a plan that agents and backend servers read apart."""
+        net = meshnet.deployment()
+        numbers = [
+            net.call('m0', '/look/', key)
+            for key in range(0, ranges.KEY_COUNT, 3001)
+        ]
+        net.run(1000)
+        assert all(served(net, number) for number in numbers)
+
+
+class TestLostHost:
+    """A host that is gone with its agent and its backend server."""
+
+    def test_keys_are_served_again(self):
+        """Guards against keys that stay with a lost host."""
+        net = meshnet.deployment()
+        lost = next(one for one in ('b0', 'b1') if one not in net.planner())
+        net.stop(lost)
+        net.backends[lost].is_up = False
+        net.run(TAKEOVER_MS)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_lost_planner_moves_no_keys_of_others(self):
+        """Guards against leases that end because the planner is gone."""
+        net = meshnet.deployment()
+        lost = net.planner()[0]
+        before = {
+            host_id: sorted(backend.held())
+            for host_id, backend in net.backends.items()
+            if host_id != lost
+        }
+        net.stop(lost)
+        for _ in range(60):
+            net.run(100)
+            for host_id, held in before.items():
+                assert sorted(net.backends[host_id].held()) == held
+        assert len(net.planner()) == 1
+        assert not net.violations
+
+    @pytest.mark.parametrize('seed', range(4))
+    def test_planner_and_owner_lost_together(self, seed):
+        """Guards against giving keys away while an old lease may live."""
+        net = meshnet.deployment(divided=6, others=3, seed=seed)
+        lost = {net.planner()[0], 'b1'}
+        for host_id in lost:
+            net.stop(host_id)
+            net.backends[host_id].is_up = False
+        net.run(DOUBLE_LOSS_MS)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+
+class TestPartition:
+    """Hosts that live on where nobody reaches them."""
+
+    def test_cut_owner_lets_go_before_others_take(self):
+        """Guards against two owners across a partition."""
+        net = meshnet.deployment()
+        cut = next(one for one in ('b0', 'b1') if one not in net.planner())
+        net.cut.add(cut)
+        net.store.refuses.add(cut)
+        net.run(TAKEOVER_MS)
+        assert not net.backends[cut].held()
+        assert net.owned() == ranges.KEY_COUNT
+        net.cut.clear()
+        net.store.refuses.clear()
+        net.run(6000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_cut_planner_gives_no_more_leases(self):
+        """Guards against an old planner that goes on beside a new one."""
+        net = meshnet.deployment(divided=5, others=3)
+        cut = net.planner()[0]
+        net.cut.add(cut)
+        net.store.refuses.add(cut)
+        net.run(DOUBLE_LOSS_MS)
+        assert not net.backends[cut].held()
+        net.cut.clear()
+        net.store.refuses.clear()
+        net.run(4000)
+        assert len(net.planner()) == 1
+        assert not net.violations
+
+
+class TestStoreOutage:
+    """The store refuses some or all agents."""
+
+    def test_owners_go_on_while_the_store_is_away(self):
+        """Guards against leases that need the store."""
+        net = meshnet.deployment()
+        net.store.is_down = True
+        for _ in range(9):
+            net.run(1000)
+            assert net.owned() == ranges.KEY_COUNT
+        net.store.is_down = False
+        net.run(4000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert len(net.planner()) == 1
+        assert not net.violations
+
+    def test_role_leaves_a_planner_without_store(self):
+        """Guards against plans that stand still while others can write."""
+        net = meshnet.deployment()
+        refused = net.planner()[0]
+        net.store.refuses.add(refused)
+        net.run(6000)
+        assert net.planner() != [refused]
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+
+class TestRestart:
+    """Agents that start again beside a backend server that lives on."""
+
+    def test_same_keys_under_the_same_fence(self):
+        """Guards against keys that move because an agent restarted."""
+        net = meshnet.deployment()
+        host_id = next(one for one in ('b0', 'b1') if one not in net.planner())
+        before = sorted(net.backends[host_id].held())
+        net.stop(host_id)
+        net.run(800)
+        net.start(host_id)
+        net.run(4000)
+        assert sorted(net.backends[host_id].held()) == before
+        assert not net.violations
+
+    def test_all_agents_restart_at_once(self):
+        """Guards against a deployment that waits for agents that are gone."""
+        net = meshnet.deployment()
+        for host_id in tuple(net.worlds):
+            net.stop(host_id)
+        net.run(700)
+        for host_id in net.backends:
+            net.start(host_id)
+        net.run(6000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_power_lost_everywhere(self):
+        """Guards against state that lives only in agents."""
+        net = meshnet.deployment()
+        for host_id, backend in net.backends.items():
+            net.stop(host_id)
+            backend.is_up = False
+        net.run(900)
+        for host_id, backend in net.backends.items():
+            backend.restart()
+            net.start(host_id)
+        net.run(12_000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_new_life_of_a_backend_server_gets_a_higher_fence(self):
+        """Guards against a fence that an earlier life has had."""
+        net = meshnet.deployment()
+        backend = net.backends['b1']
+        before = max(backend.fences())
+        backend.restart()
+        net.run(8000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert all(fence > before for fence in backend.fences())
+        assert not net.violations
+
+
+class TestLeaving:
+    """Backend servers and agents that say that they leave."""
+
+    def test_draining_server_holds_nothing_after_the_bound(self):
+        """Guards against requests for a server that has left."""
+        net = meshnet.deployment()
+        net.backends['b2'].is_draining = True
+        net.run(meshnet.BEAT_MS + 2000)
+        assert not net.backends['b2'].held()
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
+    def test_handover_token_goes_along(self):
+        """Guards against planned moves that make keys cold."""
+        net = meshnet.deployment()
+        net.backends['b2'].is_draining = True
+        net.run(meshnet.BEAT_MS + 2000)
+        tokens = {
+            token
+            for backend in net.backends.values()
+            for token in backend.handovers
+        }
+        assert 'token' in tokens
+
+
+class TestGrantsWithoutAnswer:
+    """Grants that take effect though their answers are lost."""
+
+    def test_move_waits_for_a_grant_that_may_live(self):
+        """Guards against a release that a late grant undoes."""
+        net = meshnet.deployment()
+        net.backends['b2'].loses_grant_answers = True
+        net.run(1500)
+        net.backends['b2'].is_draining = True
+        net.run(8000)
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
