Notice callers who leave, connections gone silent, and missed versions

Ruled out: a lost cancellation between agents; a refused read. Change: the callback; keep-alive probes on all connections of the curl client; the planner's lease names its version of the configuration, and an agent behind it reads the row. Uploads cross a failure domain only for a much shorter wait; within a priority short targets go first; ticks for requests that have ended are gone.

--- a/laburnumlatch/mailbox.py
+++ b/laburnumlatch/mailbox.py
@@ -33,7 +33,9 @@
 
         Answers of the store are for the system that asked; others stay.
         """
-        answers = self._by_kind.get(kind, [])
+        answers = self._by_kind.get(kind)
+        if not answers:
+            return []
         own = [one for one in answers if one.ticket.startswith(prefix)]
         if own:
             self._by_kind[kind] = [one for one in answers if one not in own]
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -114,10 +114,19 @@
         or request.head.key is None
         or holdings.may_start(world, request.head.key, now)
     ]
-    ready.sort(key=lambda request: (request.priority, request.arrived))
+    ready.sort(key=_order)
     return ready
 
 
+def _order(request):
+    """Return the rank of a request: urgent ones first, then by target.
+
+    A request with a short target, such as a call that a running request
+    waits for, loses more by waiting.
+    """
+    return request.priority, request.arrived + request.target_ms
+
+
 def _mean_work_ms(world):
     means = tuple(world.work_times)
     return sum(means) / len(means) if means else DEFAULT_WORK_MS
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -10,6 +10,8 @@
 WATCH_MS = 28_000
 RETRY_MS = 300
 CALL_MS = 2000
+# The planner knows a newer version: the watch may have gone silent.
+BEHIND_MS = 500
 
 _log = logs.logger('configuration')
 
@@ -22,9 +24,11 @@
         world.timers.put(READ_TICKET, now + RETRY_MS)
     for read in world.inbox.take(messages.ConfigurationRead):
         _take(world, read)
-    if world.is_watching_configuration:
+    is_behind = world.lease.configuration_version > world.configuration_version
+    if world.is_watching_configuration and not is_behind:
         return
-    if world.due(READ_TICKET, CALL_MS, now):
+    interval_ms = BEHIND_MS if is_behind else CALL_MS
+    if world.due(READ_TICKET, interval_ms, now):
         world.outbox.post(messages.ReadConfiguration(READ_TICKET))
 
 
--- a/laburnumlatch/mesh/expiry.py
+++ b/laburnumlatch/mesh/expiry.py
@@ -19,6 +19,7 @@
         request = world.requests.get(number)
         if request is not None:
             _expire(world, request)
+    world.deadlines.drop_stale(world.requests.__contains__)
     if world.deadlines.next_due is not None:
         world.wake_at(world.deadlines.next_due)
 
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -42,7 +42,7 @@
     if has_news or is_due or basis != world.holdings_basis:
         world.holdings_basis = basis
         _follow(world, row.plan, backend, now)
-    _work(world, backend, now)
+        _work(world, backend, now)
 
 
 def holding_of(world, key):
@@ -315,7 +315,6 @@
     if holding.ticket:
         return
     if now < due:
-        world.wake_at(due)
         return
     left_ms = int((world.lease.expires - now) * HOLD_RATE)
     hold_ms = min(left_ms, world.settings.bounds.max_hold_ms)
@@ -373,7 +372,6 @@
     if holding.ticket:
         return
     if now < holding.retry_at:
-        world.wake_at(holding.retry_at)
         return
     holding.ticket = world.next_ticket()
     world.outbox.post(
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -52,6 +52,7 @@
     valid_ms: int
     has_store: bool
     plan_version: int = 0
+    configuration_version: int = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -73,6 +73,7 @@
     sent: dict[int, int] = attrs.Factory(dict)
     planner_has_store: bool = True
     plan_version: int = 0
+    configuration_version: int = 0
 
 
 @attrs.define
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -94,6 +94,7 @@
     if lease.term != world.role.term or sent is None:
         return
     world.lease.answered = now
+    world.lease.configuration_version = lease.configuration_version
     world.lease.planner_has_store = lease.has_store
     if lease.valid_ms:
         world.lease.expires = max(world.lease.expires, sent + lease.valid_ms)
@@ -126,6 +127,7 @@
         # A planner that stops lets another one take the role at once.
         has_store=own_role.has_store and world.stopping_since is None,
         plan_version=0 if plan is None else plan.version,
+        configuration_version=world.configuration_version,
     )
     if renew.host_id == world.host_id:
         _take(world, answer, now)
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -19,6 +19,8 @@
 WATCH_MS = 28_000
 # A refused or lost call to the store is repeated after this time.
 RETRY_MS = 400
+# How often the own row is compared with what it should say.
+OWN_ROW_MS = 100
 # A call to the store that is not answered by then is made again.
 CALL_MS = 2000
 # A backend server that lives announces itself well within this time.
@@ -44,7 +46,7 @@
         _rescan(world)
     _announcements(world, now)
     _close(world, now)
-    if world.has_members:
+    if world.has_members and world.due('members/own', OWN_ROW_MS, now):
         _write_own_row(world, now)
 
 
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -13,9 +13,11 @@
 DEFAULT_TIME_MS = 30_000
 DEFAULT_TARGET_MS = 1000
 NOT_READY_RETRY_MS = 500
-# A host in another failure domain must be this much sooner to be chosen:
-# bytes between failure domains are dear.
+# A host in another failure domain must be this much sooner to be chosen, and
+# so much more for each KB of the body: bytes between domains are dear.
 OTHER_DOMAIN_MS = 150
+OTHER_DOMAIN_MS_PER_KB = 20
+BYTES_PER_KB = 1000
 
 
 def run(world, now):
@@ -28,6 +30,7 @@
         request = world.parked.pop(number)
         if request is not None:
             place(world, request, now)
+    world.placements.drop_stale(world.parked.__contains__)
     if world.placements.next_due is not None:
         world.wake_at(world.placements.next_due)
 
@@ -199,11 +202,14 @@
     if not fresh:
         return None
     domain = world.settings.domain
+    crossing_ms = OTHER_DOMAIN_MS + (
+        len(request.body) / BYTES_PER_KB * OTHER_DOMAIN_MS_PER_KB
+    )
     return min(
         fresh,
         key=lambda host: (
             _wait_ms(world, host, now)
-            + (host.record.domain != domain) * OTHER_DOMAIN_MS,
+            + (host.record.domain != domain) * crossing_ms,
             world.rng.random(),
         ),
     )
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -35,9 +35,9 @@
     if not world.role.is_held or world.configuration is None:
         return
     _read_if_unsure(world, now)
-    for lessee in world.lessees:
-        _learn(world, lessee)
     if world.due('planner/plan', PLAN_MS, now):
+        for lessee in world.lessees:
+            _learn(world, lessee)
         _plan_all(world, now)
 
 
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -65,6 +65,11 @@
             and self.stopping_since is None
         )
 
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force, 0 if there is none yet."""
+        return 0 if self.configuration is None else self.configuration.version
+
     def next_ticket(self):
         """Return a number that no other message of this agent bears."""
         self._tickets += 1
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -132,6 +132,7 @@
             follow_redirects=False,
             max_redirects=0,
             decompress_response=False,
+            prepare_curl_callback=curlclient.watch_connection,
         )
         done = asyncio.get_running_loop().create_future()
         self._client.fetch_impl(request, done.set_result)
@@ -205,6 +206,7 @@
         self._curl = curl
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.PATH_AS_IS, 1)
+        curlclient.watch_connection(curl)
         # Handles are used again with their options, so both are always set.
         # libcurl by itself repeats a request on a reused connection that
         # closes before the answer; work that must not repeat gets a new one.
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -166,6 +166,8 @@
         if self._is_refused:
             return
         fields = self._fields
+        # tornado itself reports only a close before the end of the request.
+        self._connection.set_close_callback(self.on_connection_close)
         key = fields.get(wire.KEY)
         head = messages.Head(
             method=self._start.method,
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -11,6 +11,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from laburnumlatch import curlclient
 from laburnumlatch import docmsg
 from laburnumlatch import errors
 from laburnumlatch import store
@@ -122,6 +123,7 @@
             connect_timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
             request_timeout=timeout_ms / MS_PER_S,
             decompress_response=False,
+            prepare_curl_callback=curlclient.watch_connection,
             **options,
         )
         try:
