--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -14,6 +14,10 @@
 # A request must have this part of the usual time left when it starts.
 LATEST_START_RATE = 0.8
 DOWN_RETRY_MS = 800
+# The longest wait, as a part of the target. Requests that must not be repeated
+# by a caller at will are worth waiting longer for.
+SAFE_WAIT_RATE = 0.4
+ONCE_WAIT_RATE = 0.8
 # The part of the expected wait after which a refused caller finds room.
 RETURN_RATE = 0.6
 
@@ -94,7 +98,7 @@
         requests.refuse(world, request, messages.Reason.SERVER_DOWN, 0)
         return
     wait_ms = expected_wait_ms(world, now, request.priority)
-    if now + wait_ms + work_ms(world, request.route) > request.deadline:
+    if wait_ms > _longest_wait_ms(world, request, now):
         requests.refuse(
             world, request, messages.Reason.NO_ROOM, wait_ms * RETURN_RATE
         )
@@ -104,6 +108,18 @@
     world.queue.put(request.number, request)
 
 
+def _longest_wait_ms(world, request, now):
+    """Return the wait beyond which the request is better refused at once.
+
+    Under overload the queue stands at its bound, so all that start have
+    waited that long. A bound well within the target lets as many requests
+    start, but end in time.
+    """
+    rate = SAFE_WAIT_RATE if request.is_safe else ONCE_WAIT_RATE
+    left_ms = request.deadline - now - work_ms(world, request.route)
+    return min(left_ms, rate * request.target_ms)
+
+
 def in_order(world, now):
     """Return the requests that may start now, the first to start first."""
     is_divided = world.is_divided(world.settings.service)
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -1,8 +1,13 @@
-"""Frames over a TCP connection: a length, then one encoded message."""
+"""Frames over a TCP connection: a length, then one encoded message.
+
+The bytes of a connection are one deflate stream: heads of requests repeat
+the same names, and bytes between failure domains are dear.
+"""
 
 import abc
 import asyncio
 import struct
+import zlib
 
 from laburnumlatch import errors
 from laburnumlatch import logs
@@ -12,6 +17,11 @@
 _LENGTH = struct.Struct('>I')
 # The largest body of a request, and room for its head.
 MAX_FRAME_BYTES = 75_497_472
+LEVEL = 4
+# A window of 8 KB holds the heads that repeat; a larger one costs memory for
+# every connection.
+WINDOW_BITS = 13
+MEMORY_LEVEL = 5
 
 _log = logs.logger('peers')
 _codec = wire.Codec(peermsg.KINDS)
@@ -23,6 +33,10 @@
     def __init__(self):
         """Start without a connection."""
         self._buffer = bytearray()
+        self._deflate = zlib.compressobj(
+            LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
+        )
+        self._inflate = zlib.decompressobj(-WINDOW_BITS)
         self.transport = None
 
     @abc.abstractmethod
@@ -35,18 +49,20 @@
 
     def data_received(self, chunk):
         """Decode what is complete; close the connection at bad input."""
-        self._buffer += chunk
         try:
+            self._buffer += self._inflate.decompress(chunk)
             for message in self._messages():
                 self.received(message)
-        except errors.WireError as error:
+        except (errors.WireError, zlib.error) as error:
             _log.error('connection closed: {}', error)
             self.transport.abort()
 
     def send(self, message):
         """Write one message."""
         body = _codec.encode(message)
-        self.transport.write(_LENGTH.pack(len(body)) + body)
+        packed = self._deflate.compress(_LENGTH.pack(len(body)))
+        packed += self._deflate.compress(body)
+        self.transport.write(packed + self._deflate.flush(zlib.Z_SYNC_FLUSH))
 
     def _messages(self):
         start = 0
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -63,7 +63,7 @@
         verdict=failed.verdict or '-',
         detail=failed.detail or '-',
     )
-    if failed.phase != messages.Phase.UNSENT and failed.verdict is None:
+    if _has_reached_server(failed):
         request.sends += 1
     if not _has_not_run(failed):
         request.may_have_run = True
@@ -79,6 +79,15 @@
         _repeat(world, request, failed, now)
 
 
+def _has_reached_server(failed):
+    """Tell whether a backend server may have got the request."""
+    if failed.reason == messages.Reason.SHED:
+        return True
+    if failed.verdict is not None:
+        return failed.verdict != messages.Verdict.NOT_RUN
+    return failed.phase != messages.Phase.UNSENT
+
+
 def _has_not_run(failed):
     if failed.verdict is not None:
         return failed.verdict == messages.Verdict.NOT_RUN
@@ -159,8 +168,7 @@
         return False
     if not placement.has_untried_host(world, request, now):
         return False
-    if failed.verdict is not None or failed.phase == messages.Phase.UNSENT:
-        # No backend server has got it.
+    if not _has_reached_server(failed):
         return True
     return request.sends < request.attempts and retrybudget.take(
         world, request.service, now
