--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -117,6 +117,9 @@
     """
     rate = SAFE_WAIT_RATE if request.is_safe else ONCE_WAIT_RATE
     left_ms = request.deadline - now - work_ms(world, request.route)
+    if request.is_nested:
+        # Its refusal would waste the work of the request that waits for it.
+        return left_ms
     return min(left_ms, rate * request.target_ms)
 
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -192,6 +192,7 @@
     target_ms: int
     route: str = ''
     plan_version: int = 0
+    is_nested: bool = False
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -15,7 +15,7 @@
 NOT_READY_RETRY_MS = 500
 # A host in another failure domain must be this much sooner to be chosen, and
 # so much more for each KB of the body: bytes between domains are dear.
-OTHER_DOMAIN_MS = 150
+OTHER_DOMAIN_MS = 20
 OTHER_DOMAIN_MS_PER_KB = 20
 BYTES_PER_KB = 1000
 
@@ -107,6 +107,20 @@
         caller_deadline=caller_deadline,
         target_ms=route.target_ms or DEFAULT_TARGET_MS,
         route=route.name,
+        is_nested=_is_nested(world, arrived.head.request_id),
+    )
+
+
+def _is_nested(world, request_id):
+    """Tell whether the request is a call of one that runs on this host.
+
+    A backend server derives the ID of a call from that of its request.
+    """
+    parent, dot, _own = request_id.rpartition('.')
+    return bool(dot) and any(
+        request.request_id == parent
+        and request.state == rows.RequestState.RUNNING
+        for request in world.requests
     )
 
 
@@ -147,6 +161,7 @@
         target_ms=forward.target_ms,
         sender=forwarded.sender,
         route=forward.route,
+        is_nested=forward.is_nested,
     )
     _keep(world, request)
     if forward.service != world.settings.service:
@@ -236,6 +251,7 @@
         'forward',
         host=host.host_id,
         key=request.head.key,
+        body_bytes=len(request.body),
         plan=request.plan_version,
         wait_ms=int(host.wait_ms),
         report_age_ms=now - host.reported if host.reported else -1,
@@ -257,6 +273,7 @@
                 target_ms=request.target_ms,
                 route=request.route,
                 plan_version=request.plan_version,
+                is_nested=request.is_nested,
             ),
         )
     )
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -98,7 +98,8 @@
     pass the request on; events of an older one are ignored. `sender` is the
     host that forwarded it here, empty for a caller's own request. `sends`
     counts exchanges in which a backend server may have got the request;
-    `may_have_run` tells that one of them may have run it.
+    `may_have_run` tells that one of them may have run it. `is_nested` tells
+    that a request which runs at a backend server waits for this one.
     """
 
     number: int
@@ -125,6 +126,7 @@
     is_detached: bool = False
     may_have_run: bool = False
     plan_version: int = 0
+    is_nested: bool = False
 
     @property
     def is_safe(self):
