Order nested calls behind callers with short targets

Now a nested call counts with twice its target, and the expected wait counts only what starts earlier.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -18,6 +18,7 @@
 # by a caller at will are worth waiting longer for.
 SAFE_WAIT_RATE = 0.4
 ONCE_WAIT_RATE = 0.8
+NESTED_TARGET_RATE = 2
 # The part of the expected wait after which a refused caller finds room.
 RETURN_RATE = 0.6
 
@@ -63,10 +64,10 @@
     world.report.done += 1
 
 
-def expected_wait_ms(world, now, priority=None):
+def expected_wait_ms(world, now, newcomer=None):
     """Return how long a new request would wait here, in ms.
 
-    Only requests at least as urgent as `priority` count, None counts all.
+    Only requests that start before `newcomer` count, None counts all.
     """
     backend = world.backend
     if backend is None or not backend.slots:
@@ -74,7 +75,7 @@
     ahead = [
         work_ms(world, request.route)
         for request in world.queue
-        if priority is None or request.priority <= priority
+        if newcomer is None or _order(request) <= _order(newcomer)
     ]
     if backend.running < backend.slots and not ahead:
         return 0
@@ -97,7 +98,7 @@
     if is_closed(backend, now):
         requests.refuse(world, request, messages.Reason.SERVER_DOWN, 0)
         return
-    wait_ms = expected_wait_ms(world, now, request.priority)
+    wait_ms = expected_wait_ms(world, now, request)
     if wait_ms > _longest_wait_ms(world, request, now):
         requests.refuse(
             world, request, messages.Reason.NO_ROOM, wait_ms * RETURN_RATE
@@ -140,10 +141,12 @@
 def _order(request):
     """Return the rank of a request: urgent ones first, then by target.
 
-    A request with a short target, such as a call that a running request
-    waits for, loses more by waiting.
+    A request with a short target loses more by waiting. Calls that a running
+    request waits for have shorter targets than that request, and many come
+    at once; at their own target they would push out what callers ask for.
     """
-    return request.priority, request.arrived + request.target_ms
+    rate = NESTED_TARGET_RATE if request.is_nested else 1
+    return request.priority, request.arrived + rate * request.target_ms
 
 
 def _mean_work_ms(world):
