--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -14,6 +14,8 @@
 # A request must have this part of the usual time left when it starts.
 LATEST_START_RATE = 0.8
 DOWN_RETRY_MS = 800
+# An agent that has stopped is back after about this time.
+RESTART_MS = 1500
 # The longest wait, as a part of the target. Requests that must not be repeated
 # by a caller at will are worth waiting longer for.
 SAFE_WAIT_RATE = 0.4
@@ -25,17 +27,11 @@
 
 def run(world, now):
     """Refuse what waits and can no longer be served in time."""
-    backend = world.backend
+    obstacle = _obstacle(world, now)
     for request in world.queue:
-        if backend is None or backend.failed_since is not None:
-            requests.refuse(
-                world, request, messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
-            )
-        elif is_closed(backend, now):
-            requests.refuse(world, request, messages.Reason.NOT_OWNER, 0)
-        elif now + work_ms(world, request.route) * LATEST_START_RATE > (
-            request.deadline
-        ):
+        if obstacle is not None:
+            requests.refuse(world, request, *obstacle)
+        elif _is_too_late(world, request, now):
             requests.refuse(
                 world,
                 request,
@@ -44,6 +40,23 @@
             )
 
 
+def _obstacle(world, now):
+    """Return why no work can start here, with ms to come back, or None."""
+    backend = world.backend
+    if backend is None or backend.failed_since is not None:
+        return messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
+    if is_closed(backend, now):
+        return messages.Reason.NOT_OWNER, 0
+    if world.is_finishing(now):
+        return messages.Reason.SERVER_DOWN, RESTART_MS
+    return None
+
+
+def _is_too_late(world, request, now):
+    needed_ms = work_ms(world, request.route) * LATEST_START_RATE
+    return now + needed_ms > request.deadline
+
+
 def is_closed(backend, now):
     """Tell whether no request may reach a leaving backend server any more."""
     return backend.closing_at is not None and now >= backend.closing_at
@@ -87,16 +100,11 @@
 
 def enter(world, request, now):
     """Queue a request for the local backend server, or refuse it."""
-    backend = world.backend
     if request.head.key is not None:
         world.report.cells[balancing.cell_of(request.head.key)] += 1
-    if backend is None or backend.failed_since is not None:
-        requests.refuse(
-            world, request, messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
-        )
-        return
-    if is_closed(backend, now):
-        requests.refuse(world, request, messages.Reason.SERVER_DOWN, 0)
+    obstacle = _obstacle(world, now)
+    if obstacle is not None:
+        requests.refuse(world, request, *obstacle)
         return
     wait_ms = expected_wait_ms(world, now, request)
     if wait_ms > _longest_wait_ms(world, request, now):
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -7,7 +7,7 @@
 # send until then are served.
 SERVE_MS = 2500
 # The process must be gone before the platform ends it.
-MARGIN_MS = 600
+MARGIN_MS = 300
 QUIET_MS = 300
 
 _log = logs.logger('leaving')
@@ -23,11 +23,18 @@
     if since is None:
         return
     last = since + world.settings.bounds.grace_ms - MARGIN_MS
-    if now >= last or (now >= since + SERVE_MS and _is_done(world)):
+    if now >= last or (now >= since + SERVE_MS and _is_done(world, now)):
         world.outbox.post(messages.Stopped())
         return
     world.wake_at(min(last, now + QUIET_MS))
 
 
-def _is_done(world):
-    return not len(world.requests) and not len(world.holdings)
+def _is_done(world, now):
+    """Tell whether no request is open and no key waits for its next owner.
+
+    Without the store keys cannot move. They then stay with the backend
+    server, and this agent takes them up again when it is back.
+    """
+    if len(world.requests):
+        return False
+    return world.is_finishing(now) or not len(world.holdings)
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -220,6 +220,7 @@
         self.cut = set()
         self.violations = []
         self.early_takes = []
+        self.stopped = {}
         self.outcomes = {}
         self.domains = {}
         self.forwards = {}
@@ -374,6 +375,9 @@
         for take in outbox.take(backendmsg.TakeBack):
             self.later(1, self._release, host_id, take)
         self._requests(host_id, outbox)
+        if outbox.take(messages.Stopped):
+            self.stopped[host_id] = self.now
+            self.stop(host_id)
         outbox.clear()
 
     def _configure(self, host_id, outbox):
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -210,6 +210,23 @@
         assert net.owned() == ranges.KEY_COUNT
         assert not net.violations
 
+    def test_stop_without_the_store_cuts_no_work(self):
+        """Guards against work that is cut off at the end of the grace time.
+
+        Keys cannot move while the store is away, so requests go on arriving
+        until the process ends.
+        """
+        net = meshnet.deployment()
+        net.backends['b2'].work_ms = 900
+        net.store.is_down = True
+        key = net.backends['b2'].held()[0][0]
+        net.post('b2', messages.Stopping())
+        while not net.stopped:
+            net.call('m0', '/look/', key)
+            net.run(50)
+        assert not net.backends['b2'].running
+        assert net.now <= net.stopped['b2'] + 50
+
     def test_handover_token_goes_along(self):
         """Guards against planned moves that make keys cold."""
         net = meshnet.deployment()
