Send plans to agents directly instead of through twelve watches

Change: plans have a table that nobody watches; the planner sends each plan over the kept connections, and an agent that a lease shows to be behind reads the table. The lease lists the versions of all plans.

--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -53,7 +53,7 @@
             self._buffer += self._inflate.decompress(chunk)
             for message in self._messages():
                 self.received(message)
-        except (errors.WireError, zlib.error) as error:
+        except (errors.WireError, zlib.error, KeyError) as error:
             _log.error('connection closed: {}', error)
             self.transport.abort()
 
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -305,7 +305,7 @@
     return (
         backend.failed_since is None
         and now < world.lease.expires
-        and plan.version >= world.lease.plan_version
+        and world.lease.covers(plan)
     )
 
 
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -42,7 +42,9 @@
     """The planner's answer: the host may hold its pieces for `valid_ms`.
 
     0 means that the planner may not issue leases now. `has_store` tells
-    whether the planner can write to the store.
+    whether the planner can write to the store. `plan_versions` are those of
+    all divided services, by name; `configuration_version` is that in force
+    at the planner.
     """
 
     holder: str
@@ -51,7 +53,7 @@
     sequence: int
     valid_ms: int
     has_store: bool
-    plan_version: int = 0
+    plan_versions: tuple[tuple[str, int], ...] = ()
     configuration_version: int = 0
 
 
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -63,18 +63,28 @@
     """The lease of this host; `expires` in ms of its own clock.
 
     `answered` is when the planner last answered, `sent` the times at which
-    recent renewals were sent, by sequence. The lease counts only for a host
-    that knows version `plan_version` of the plan of its service.
+    recent renewals were sent, by sequence, `newest` the last sequence that was
+    answered. The lease counts only for a host
+    that knows the plan of its service in the version of `plan_versions`.
     """
 
     expires: int = 0
     answered: int = 0
     sequence: int = 0
+    newest: int = 0
     sent: dict[int, int] = attrs.Factory(dict)
     planner_has_store: bool = True
-    plan_version: int = 0
+    plan_versions: tuple[tuple[str, int], ...] = ()
     configuration_version: int = 0
 
+    def covers(self, plan):
+        """Tell whether the lease counts for a host that knows `plan`."""
+        return all(
+            plan.version >= version
+            for service, version in self.plan_versions
+            if service == plan.service
+        )
+
 
 @attrs.define
 class Lessee:
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -94,13 +94,14 @@
     if lease.term != world.role.term or sent is None:
         return
     world.lease.answered = now
-    world.lease.configuration_version = lease.configuration_version
     world.lease.planner_has_store = lease.has_store
     if lease.valid_ms:
         world.lease.expires = max(world.lease.expires, sent + lease.valid_ms)
-        world.lease.plan_version = max(
-            world.lease.plan_version, lease.plan_version
-        )
+    if lease.sequence > world.lease.newest:
+        # Answers may overtake each other; the newest knows the newest plans.
+        world.lease.newest = lease.sequence
+        world.lease.plan_versions = lease.plan_versions
+        world.lease.configuration_version = lease.configuration_version
 
 
 def _answer(world, renew, now):
@@ -114,7 +115,6 @@
         own_role.renewed = 0
         return
     valid_ms = _valid_ms(world, renew, now)
-    plan = world.plan_of(renew.service)
     lessee = _lessee(world, renew, now)
     if valid_ms:
         lessee.expires = now + leaserows.latest_end_ms()
@@ -126,7 +126,9 @@
         valid_ms=valid_ms,
         # A planner that stops lets another one take the role at once.
         has_store=own_role.has_store and world.stopping_since is None,
-        plan_version=0 if plan is None else plan.version,
+        plan_versions=tuple(
+            (row.plan.service, row.plan.version) for row in world.plans
+        ),
         configuration_version=world.configuration_version,
     )
     if renew.host_id == world.host_id:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -6,21 +6,25 @@
 from laburnumlatch import wire
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
 
 TABLE = 'mesh/'
 HOST_PREFIX = 'mesh/host/'
-PLAN_PREFIX = 'mesh/plan/'
+PLAN_PREFIX = 'plans/'
 TICKET = 'members/'
 SCAN_TICKET = 'members/scan'
 WATCH_TICKET = 'members/watch'
 ROW_TICKET = 'members/row'
+PLANS_TICKET = 'members/plans'
 WATCH_MS = 28_000
 # A refused or lost call to the store is repeated after this time.
 RETRY_MS = 400
 # How often the own row is compared with what it should say.
 OWN_ROW_MS = 100
+# The planner's plan comes directly; the store is asked if it does not.
+PLANS_MS = 400
 # A call to the store that is not answered by then is made again.
 CALL_MS = 2000
 # A backend server that lives announces itself well within this time.
@@ -35,6 +39,10 @@
     """Follow the rows, take in announcements, keep the own row current."""
     if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
         world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+    for told in world.inbox.take(messages.PlanTold):
+        take_plan(world, told.plan, told.row_version)
+    if _misses_plans(world) and world.due(PLANS_TICKET, PLANS_MS, now):
+        world.outbox.post(docmsg.StoreRead(PLANS_TICKET, PLAN_PREFIX))
     for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
         _failed(world, failed, now)
     for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
@@ -98,6 +106,17 @@
     world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
 
 
+def _misses_plans(world):
+    """Tell whether the planner knows a newer plan, or none is known yet."""
+    if not world.has_plans:
+        return True
+    for service, version in world.lease.plan_versions:
+        plan = world.plan_of(service)
+        if plan is None or plan.version < version:
+            return True
+    return False
+
+
 def _failed(world, failed, now):
     _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
     if failed.ticket == WATCH_TICKET:
@@ -111,6 +130,10 @@
 
 
 def _changed(world, read):
+    if read.ticket == PLANS_TICKET:
+        world.has_plans = True
+        take_rows(world, read.rows)
+        return
     if read.ticket == WATCH_TICKET or not world.is_watching:
         world.is_watching = True
         world.outbox.post(
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -5,9 +5,11 @@
 from laburnumlatch import frontends
 from laburnumlatch import logs
 from laburnumlatch import settings
+from laburnumlatch import wire
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
+from laburnumlatch.mesh import ranges
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 500
@@ -29,6 +31,7 @@
         messages.CancelForward,
         messages.ReplyAnswer,
         messages.ReplyRefusal,
+        messages.SendPlan,
     )
 
     def __init__(self, post, address, host_id, numbers, time_source):
@@ -65,7 +68,12 @@
     def carry_out(self, message):
         """Send a request, a cancellation or a reply."""
         if isinstance(message, messages.SendForward):
-            self._forward(message)
+            outbound = self._outbound(message.host_id, message.address)
+            outbound.ask(message.forward)
+        elif isinstance(message, messages.SendPlan):
+            packed = wire.pack(message.plan)
+            frame = peermsg.Plan(packed, message.row_version)
+            self._outbound(message.host_id, message.address).tell(frame)
         elif isinstance(message, messages.CancelForward):
             outbound = self._dialed.get(message.host_id)
             if outbound is not None:
@@ -102,13 +110,13 @@
         if self._dialed.get(host_id) is outbound:
             self._dialed.pop(host_id)
 
-    def _forward(self, message):
-        outbound = self._dialed.get(message.host_id)
-        if outbound is None or outbound.address != message.address:
-            outbound = _Outbound(self, message.host_id, message.address)
-            self._dialed[message.host_id] = outbound
+    def _outbound(self, host_id, address):
+        outbound = self._dialed.get(host_id)
+        if outbound is None or outbound.address != address:
+            outbound = _Outbound(self, host_id, address)
+            self._dialed[host_id] = outbound
             outbound.dial()
-        outbound.ask(message.forward)
+        return outbound
 
     def _reply(self, message):
         inbound, number, exchange = self._asked.pop(
@@ -156,6 +164,7 @@
         self._link = link
         self._host_id = host_id
         self._waiting = []
+        self._untold = []
         self._open = {}
         self._heard = 0
         self._pinged = 0
@@ -182,6 +191,13 @@
         self._open[forward.number, forward.exchange] = forward
         self.send(peermsg.Ask(forward))
 
+    def tell(self, frame):
+        """Send a frame that has no answer now, or when connected."""
+        if self.transport is None:
+            self._untold.append(frame)
+        else:
+            self.send(frame)
+
     def cancel(self, number, exchange):
         """Say that nobody waits for this answer."""
         self._waiting = [
@@ -209,6 +225,9 @@
         super().connection_made(transport)
         self._heard = self._link.now()
         self.send(self._link.hello())
+        for frame in self._untold:
+            self.send(frame)
+        self._untold.clear()
         waiting = self._waiting
         self._waiting = []
         for forward in waiting:
@@ -269,19 +288,17 @@
         self.host_id = ''
         self.open = {}
         self._link = link
+        self._takers = {
+            peermsg.Hello: self._hello,
+            peermsg.Ask: self._ask,
+            peermsg.Cancel: self._cancel,
+            peermsg.Ping: self._ping,
+            peermsg.Plan: self._plan,
+        }
 
     def received(self, message):
-        """Take in a request, a cancellation or a ping."""
-        if isinstance(message, peermsg.Hello):
-            self.host_id = message.host_id
-        elif isinstance(message, peermsg.Ask):
-            self._link.asked(self, message.forward)
-        elif isinstance(message, peermsg.Cancel):
-            number = self.open.pop((message.number, message.exchange), None)
-            if number is not None:
-                self._link.canceled(number)
-        elif isinstance(message, peermsg.Ping):
-            self.send(peermsg.Pong())
+        """Take in a request, a cancellation, a ping or a plan."""
+        self._takers[type(message)](message)
 
     def connection_lost(self, error):
         """Cancel the requests whose answers cannot be passed back."""
@@ -290,6 +307,24 @@
         for number in numbers:
             self._link.canceled(number)
 
+    def _hello(self, message):
+        self.host_id = message.host_id
+
+    def _ask(self, message):
+        self._link.asked(self, message.forward)
+
+    def _cancel(self, message):
+        number = self.open.pop((message.number, message.exchange), None)
+        if number is not None:
+            self._link.canceled(number)
+
+    def _ping(self, _message):
+        self.send(peermsg.Pong())
+
+    def _plan(self, message):
+        plan = wire.unpack(message.packed, ranges.Plan)
+        self._link.post(messages.PlanTold(plan, message.row_version))
+
 
 def _event_of(message):
     if isinstance(message, peermsg.Answered):
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -62,4 +62,15 @@
     """Answers a `Ping`."""
 
 
-KINDS = (Hello, Ask, Cancel, Answered, Refused, Ping, Pong)
+@attrs.define(frozen=True)
+class Plan:
+    """A plan that the sender, as planner, has written to the store.
+
+    `packed` is the body of the row.
+    """
+
+    packed: bytes
+    row_version: int
+
+
+KINDS = (Hello, Ask, Cancel, Answered, Refused, Ping, Pong, Plan)
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
+from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
 
@@ -60,6 +61,7 @@
         write = world.plan_writes.pop(written.ticket)
         if write is not None:
             members.take_plan(world, write.plan, written.version)
+            _tell_all(world, write.plan, written.version)
     for refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
         _log.info('plan refused ticket={}', refused.ticket)
         world.plan_writes.pop(refused.ticket)
@@ -73,6 +75,17 @@
         _take_read(world, read)
 
 
+def _tell_all(world, plan, row_version):
+    """Send a new plan to all agents: a watch of each would cost a call."""
+    for host in members.live_hosts(world):
+        if host.host_id != world.host_id:
+            world.outbox.post(
+                messages.SendPlan(
+                    host.host_id, host.record.address, plan, row_version
+                )
+            )
+
+
 def _take_read(world, read):
     """Settle what is known of the plans, and writes that had no answer."""
     asked = int(read.ticket.removeprefix(READ_TICKET))
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -47,6 +47,7 @@
     lease: leaserows.OwnLease = attrs.Factory(leaserows.OwnLease)
     report: leaserows.LoadReport = attrs.Factory(leaserows.LoadReport)
     has_members: bool = False
+    has_plans: bool = False
     is_watching: bool = False
     is_watching_configuration: bool = False
     members_version: int = 0
@@ -66,6 +67,7 @@
         return (
             self.configuration is not None
             and self.has_members
+            and self.has_plans
             and self.stopping_since is None
         )
 
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -374,6 +374,14 @@
             self._grant(host_id, give)
         for take in outbox.take(backendmsg.TakeBack):
             self.later(1, self._release, host_id, take)
+        for told in outbox.take(messages.SendPlan):
+            if not self.is_cut(host_id, told.host_id):
+                self.later(
+                    LINK_MS,
+                    self.post,
+                    told.host_id,
+                    messages.PlanTold(told.plan, told.row_version),
+                )
         self._requests(host_id, outbox)
         if outbox.take(messages.Stopped):
             self.stopped[host_id] = self.now
