Send a missed plan again with the lease; reload settings at SIGHUP

Causes: (1) test_store_outage_and_lost_answers failed once (request held 2.0 s, then 503; logs kept in the run's folder): an agent had missed one plan while the store began to refuse, its lease counted only for the newer plan, and it asked the store in vain until its keys ran out. Ruled out: the planner's own right to lease (the other owner went on). Change: a renewal names the versions the agent knows, and the planner sends what is newer; SIGHUP and a changed file reload the settings, a file that is not valid is reported and the former settings are kept. After: both tests pass.

--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -1,5 +1,7 @@
 """System: the configuration in force; a lower version never replaces it."""
 
+import attrs
+
 from laburnumlatch import docmsg
 from laburnumlatch import logs
 from laburnumlatch.mesh import messages
@@ -18,6 +20,8 @@
 
 def run(world, now):
     """Follow the operator's configuration in the store."""
+    for changed in world.inbox.take(messages.SettingsChanged):
+        _take_settings(world, changed.settings)
     for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
         _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
         world.is_watching_configuration = False
@@ -32,6 +36,17 @@
         world.outbox.post(messages.ReadConfiguration(READ_TICKET))
 
 
+def _take_settings(world, settings):
+    """Put new bounds in force; addresses and names stay until a restart."""
+    kept = attrs.evolve(world.settings, bounds=settings.bounds)
+    if kept == world.settings == settings:
+        return
+    _log.info('settings bounds={}', settings.bounds)
+    if kept != settings:
+        _log.warning('settings other than bounds need a restart')
+    world.settings = kept
+
+
 def _take(world, read):
     known = world.configuration
     for configuration in read.configurations:
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -28,7 +28,7 @@
     slots: int
     is_leaving: bool
     has_store: bool
-    plan_version: int
+    plan_versions: tuple[tuple[str, int], ...] = ()
     busy_ms: int = 0
     done: int = 0
     wait_ms: int = 0
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -105,7 +105,6 @@
     slots: int = 0
     is_leaving: bool = False
     has_store: bool = True
-    plan_version: int = 0
     wait_ms: int = 0
     grants_end: int = 0
     taken: frozenset[int] = frozenset()
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -56,7 +56,6 @@
     report = world.report
     cells = report.cells.most_common(MAX_CELLS)
     world.report = leaserows.LoadReport()
-    plan = world.plans.get(own.service)
     is_usable = backend is not None and backend.failed_since is None
     return leasemsg.Renew(
         host_id=own.host_id,
@@ -68,7 +67,7 @@
         slots=backend.slots if is_usable else 0,
         is_leaving=_is_leaving(world),
         has_store=world.role.has_store and world.is_watching,
-        plan_version=0 if plan is None else plan.plan.version,
+        plan_versions=_plan_versions(world),
         busy_ms=report.busy_ms,
         done=report.done,
         wait_ms=admission.expected_wait_ms(world, now),
@@ -126,15 +125,23 @@
         valid_ms=valid_ms,
         # A planner that stops lets another one take the role at once.
         has_store=own_role.has_store and world.stopping_since is None,
-        plan_versions=tuple(
-            (row.plan.service, row.plan.version) for row in world.plans
-        ),
+        plan_versions=_plan_versions(world),
         configuration_version=world.configuration_version,
     )
     if renew.host_id == world.host_id:
         _take(world, answer, now)
-    else:
-        world.outbox.post(leasemsg.SendDatagram(renew.address, answer))
+        return
+    world.outbox.post(leasemsg.SendDatagram(renew.address, answer))
+    known = dict(renew.plan_versions)
+    for row in world.plans:
+        if known.get(row.plan.service, 0) < row.plan.version:
+            planner.tell(
+                world, renew.host_id, renew.address, row.plan, row.row_version
+            )
+
+
+def _plan_versions(world):
+    return tuple((row.plan.service, row.plan.version) for row in world.plans)
 
 
 def _valid_ms(world, renew, now):
@@ -176,7 +183,6 @@
         renew.grants_end_ms * leaserows.LATEST_END_RATE
     )
     lessee.has_store = renew.has_store
-    lessee.plan_version = renew.plan_version
     lessee.wait_ms = renew.wait_ms
     lessee.taken = frozenset(renew.taken)
     lessee.reports.append(renew)
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -10,6 +10,7 @@
 
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import settings as settings_module
 
 
 class Verdict(enum.StrEnum):
@@ -318,6 +319,13 @@
 # Life of the process.
 
 
+@attrs.define(frozen=True)
+class SettingsChanged:
+    """The settings file has been read again."""
+
+    settings: settings_module.Settings
+
+
 @attrs.define(frozen=True)
 class Stopping:
     """The process has been told to stop."""
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -263,6 +263,8 @@
         except (OSError, TimeoutError) as error:
             _log.warning('no connection to {}: {!r}', self._host_id, error)
             self._link.lost(self._host_id, self)
+            # Frames without an answer are repeated by who sends them.
+            self._untold.clear()
             waiting = self._waiting
             self._waiting = []
             for forward in waiting:
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -79,11 +79,12 @@
     """Send a new plan to all agents: a watch of each would cost a call."""
     for host in members.live_hosts(world):
         if host.host_id != world.host_id:
-            world.outbox.post(
-                messages.SendPlan(
-                    host.host_id, host.record.address, plan, row_version
-                )
-            )
+            tell(world, host.host_id, host.record.address, plan, row_version)
+
+
+def tell(world, host_id, address, plan, row_version):
+    """Send a plan to the agent of one host."""
+    world.outbox.post(messages.SendPlan(host_id, address, plan, row_version))
 
 
 def _take_read(world, read):
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -41,6 +41,14 @@
     return named
 
 
+def changed_at():
+    """Return when the settings file was last changed, None if it is gone."""
+    try:
+        return pathlib.Path(path()).stat().st_mtime_ns
+    except OSError:
+        return None
+
+
 def load(file):
     """Read the file; raise `FindingsError` with all problems at once."""
     try:
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -8,6 +8,7 @@
 from laburnumlatch import clock
 from laburnumlatch import datagrams
 from laburnumlatch import engine
+from laburnumlatch import errors
 from laburnumlatch import logs
 from laburnumlatch import storelink
 from laburnumlatch.mesh import leasemsg
@@ -16,12 +17,14 @@
 from laburnumlatch.mesh import ticks
 from laburnumlatch.mesh import world as worlds
 from laburnumlatch.platform import backendclient
+from laburnumlatch.platform import bootfile
 from laburnumlatch.platform import callerfront
 from laburnumlatch.platform import configlink
 from laburnumlatch.platform import controlfront
 from laburnumlatch.platform import tablestore
 
 SEED_BITS = 48
+FILE_CHECK_S = 2
 
 _log = logs.logger('agent')
 
@@ -57,6 +60,7 @@
         ]
         self._engine.register_front_ends(self._front_ends)
         self._stopped = asyncio.Event()
+        self._file_changed = bootfile.changed_at()
         self._engine.register(messages.Stopped, self._note_stopped)
 
     async def run(self):
@@ -64,11 +68,13 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         for front_end in self._front_ends:
             await front_end.start()
         own = self._world.settings
         _log.info('start host={} service={}', own.host_id, own.service)
         self._engine.wake()
+        self._check_file()
         await self._stopped.wait()
         _log.info('stop host={}', own.host_id)
         for front_end in self._front_ends:
@@ -78,6 +84,22 @@
         self._callers.is_stopping = True
         self._engine.post(messages.Stopping())
 
+    def _reload(self):
+        try:
+            settings = bootfile.load(bootfile.path())
+        except errors.InvalidInputError as error:
+            _log.error('settings kept, the file is not valid: {}', error)
+        else:
+            self._engine.post(messages.SettingsChanged(settings))
+
+    def _check_file(self):
+        """Reload if the file has changed without a signal."""
+        changed = bootfile.changed_at()
+        if changed != self._file_changed:
+            self._file_changed = changed
+            self._reload()
+        asyncio.get_running_loop().call_later(FILE_CHECK_S, self._check_file)
+
     def _note_stopped(self, _message):
         self._stopped.set()
 
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -221,6 +221,7 @@
         self.violations = []
         self.early_takes = []
         self.stopped = {}
+        self.loses_plans = 0
         self.outcomes = {}
         self.domains = {}
         self.forwards = {}
@@ -374,14 +375,7 @@
             self._grant(host_id, give)
         for take in outbox.take(backendmsg.TakeBack):
             self.later(1, self._release, host_id, take)
-        for told in outbox.take(messages.SendPlan):
-            if not self.is_cut(host_id, told.host_id):
-                self.later(
-                    LINK_MS,
-                    self.post,
-                    told.host_id,
-                    messages.PlanTold(told.plan, told.row_version),
-                )
+        self._send_plans(host_id, outbox)
         self._requests(host_id, outbox)
         if outbox.take(messages.Stopped):
             self.stopped[host_id] = self.now
@@ -405,6 +399,18 @@
         else:
             self.post(host_id, answer)
 
+    def _send_plans(self, host_id, outbox):
+        for told in outbox.take(messages.SendPlan):
+            if self.loses_plans:
+                self.loses_plans -= 1
+            elif not self.is_cut(host_id, told.host_id):
+                self.later(
+                    LINK_MS,
+                    self.post,
+                    told.host_id,
+                    messages.PlanTold(told.plan, told.row_version),
+                )
+
     def _grant(self, host_id, give):
         backend = self.backends[host_id]
         is_accepted = None
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -134,6 +134,26 @@
         assert len(net.planner()) == 1
         assert not net.violations
 
+    def test_lost_plan_is_sent_again(self):
+        """Guards against an owner that waits for the store to learn a plan.
+
+        The lease counts only for who knows the newest plan. An agent that had
+        missed it could not ask the store, and its keys ran out.
+        """
+        net = meshnet.deployment()
+        net.loses_plans = 3
+        net.backends['b3'].is_draining = True
+        while net.loses_plans:
+            net.run(5)
+        net.store.is_down = True
+        net.run(leaserows.latest_end_ms() + 1000)
+        served_hosts = [
+            host_id
+            for host_id, backend in net.backends.items()
+            if backend.service == meshnet.SERVICE and backend.held()
+        ]
+        assert set(served_hosts) >= {'b0', 'b1', 'b2'}
+
     def test_role_leaves_a_planner_without_store(self):
         """Guards against plans that stand still while others can write."""
         net = meshnet.deployment()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import signal
 import socket
 import time
 
@@ -108,6 +109,25 @@
             assert codes.count(OK) > len(codes) / 2
 
 
+class TestReload:
+    """A settings file that changes while the agent runs."""
+
+    async def test_signal_and_bad_file(self, folder):
+        """Guards against an agent that ends at SIGHUP."""
+        async with platformlab.Lab(folder, SERVICES) as lab:
+            path = folder / 'h3.toml'
+            text = path.read_text(encoding='utf-8')
+            for changed in (text.replace('6s', '7s'), f'{text}[', text):
+                path.write_text(changed, encoding='utf-8')
+                lab.agents['h3'].send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.2)
+                response = await lab.call('h3', '/look/x', HALF)
+                assert response.code == OK
+            log = (folder / 'h3.log').read_text(encoding='utf-8')
+            assert 'grace_ms=7000' in log
+            assert 'the file is not valid' in log
+
+
 class TestBadInput:
     """Input that no well-behaved caller sends."""
 
