Answer callers who stay with a stopping agent, and end in time

An agent took requests until its grace time was over, waited for their answers without a bound and was killed. Ruled out: work that was cut at the owner (it starts none in that time). Change: 2.5 s after the signal a stopping agent refuses new requests of callers with the time to come back, except calls of requests that run; closing waits 0.1 s for answers that are being written. The front end of the configuration shares the code of the store's; handovers have their own module.

--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -7,7 +7,7 @@
 
 from laburnumlatch import logs
 from laburnumlatch.mesh import backendmsg
-from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import handovers
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
 
@@ -19,11 +19,8 @@
 # A grant is renewed when this part of its time has passed.
 RENEW_RATE = 0.3
 RETRY_MS = 200
-HANDOVER_REPEAT_MS = 150
 # The plan is looked at again after this time even if nothing has changed.
 FOLLOW_MS = 100
-HANDOVER_KEPT_MS = 30_000
-MAX_RECEIVED = 200
 # Work starts only if the grant lasts this long: it would end in an error.
 MIN_LEFT_MS = 100
 
@@ -89,7 +86,7 @@
     taken = world.inbox.take(backendmsg.TakenBack)
     for back in taken:
         _taken_back(world, back, now)
-    return bool(_handovers(world, now) or granted or taken)
+    return bool(handovers.take_news(world, now) or granted or taken)
 
 
 def _follow(world, plan, backend, now):
@@ -100,7 +97,7 @@
         if _is_own(world, piece, backend) and _is_free(world, piece):
             _extend(world, piece)
         elif piece.former == world.host_id:
-            _let_go(world, piece, now)
+            handovers.let_go(world, piece, now)
 
 
 def _certain_end(holding):
@@ -212,84 +209,6 @@
     )
 
 
-def _let_go(world, piece, now):
-    """Hand a piece to its new owner once nothing of it is held here."""
-    if any(ranges.overlap(piece, holding) for holding in world.holdings):
-        return
-    key = (piece.start, piece.end, piece.fence)
-    handover = world.handovers.get(key)
-    if handover is None:
-        unsure_until = world.started + leaserows.latest_end_ms()
-        if now < unsure_until:
-            # An earlier process on this host may have granted the keys.
-            _release_unknown(world, piece, unsure_until)
-            return
-        handover = _new_handover(world, piece, '', now)
-    if handover.is_known or not world.due(
-        ('handover', key), HANDOVER_REPEAT_MS, now
-    ):
-        return
-    host = world.hosts.get(piece.host_id)
-    if host is None:
-        return
-    world.outbox.post(
-        leasemsg.SendDatagram(
-            host.record.address,
-            leasemsg.HandedOver(
-                world.settings.service,
-                piece.start,
-                piece.end,
-                piece.fence,
-                handover.token,
-                world.settings.peer_address,
-            ),
-        )
-    )
-
-
-def _new_handover(world, piece, token, now):
-    return world.handovers.put(
-        (piece.start, piece.end, piece.fence),
-        leaserows.Handover(token, now + HANDOVER_KEPT_MS),
-    )
-
-
-def _release_unknown(world, piece, until):
-    world.holdings.put(
-        (piece.start, piece.fence - 1),
-        leaserows.Holding(
-            service=world.settings.service,
-            start=piece.start,
-            end=piece.end,
-            fence=piece.fence - 1,
-            life=world.backend.life,
-            state=leaserows.HoldingState.RELEASING,
-            granted_until=until,
-        ),
-    )
-
-
-def _handovers(world, now):
-    handed = world.inbox.take(leasemsg.HandedOver)
-    for told in handed:
-        if told.service == world.settings.service:
-            key = (told.start, told.end, told.fence)
-            world.received.put(key, told.handover)
-            known = leasemsg.HandoverReceived(told.start, told.end, told.fence)
-            world.outbox.post(leasemsg.SendDatagram(told.sender, known))
-    for known in world.inbox.take(leasemsg.HandoverReceived):
-        handover = world.handovers.get((known.start, known.end, known.fence))
-        if handover is not None:
-            handover.is_known = True
-    for key, kept in world.handovers.items():
-        if kept.expires <= now:
-            world.handovers.pop(key)
-            world.timers.pop(('handover', key))
-    while len(world.received) > MAX_RECEIVED:
-        world.received.pop(world.received.keys()[0])
-    return handed
-
-
 def _work(world, backend, now):
     """Send the grants and releases that are due."""
     for holding in world.holdings:
@@ -411,4 +330,4 @@
     plan = world.plan_of(holding.service)
     for piece in plan.pieces:
         if (piece.start, piece.end) == (holding.start, holding.end):
-            _new_handover(world, piece, holding.token, now)
+            handovers.keep_token(world, piece, holding.token, now)
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -29,6 +29,15 @@
     world.wake_at(min(last, now + QUIET_MS))
 
 
+def refuses_callers(world, now):
+    """Tell whether new requests of callers on this host are refused.
+
+    They would still be under way when the process has to end.
+    """
+    since = world.stopping_since
+    return since is not None and now >= since + SERVE_MS
+
+
 def _is_done(world, now):
     """Tell whether no request is open and no key waits for its next owner.
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -31,6 +31,7 @@
     """Why there is no answer."""
 
     NOT_READY = 'not-ready'
+    STOPPING = 'stopping'
     NO_ROUTE = 'no-route'
     TOO_LARGE = 'too-large'
     NO_MEMORY = 'no-memory'
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -3,6 +3,7 @@
 from laburnumlatch import metrics
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import expiry
+from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import retrybudget
@@ -60,6 +61,10 @@
     if configuration is None:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
         return
+    is_nested = _is_nested(world, arrived.head.request_id)
+    if leaving.refuses_callers(world, now) and not is_nested:
+        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
+        return
     path = arrived.head.target.partition('?')[0]
     route = configuration.match(arrived.head.host, path)
     if route is None:
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -18,6 +18,8 @@
 MS_PER_S = 1000
 BACKLOG = 1024
 STOP_POLL_S = 0.02
+# The platform ends the process if it waits longer.
+MAX_STOP_POLLS = 5
 # All bodies that are held at one time, as a part of the process's memory.
 BODIES_RATE = 0.25
 KEY_COUNT = 65_536
@@ -77,8 +79,12 @@
     async def stop(self):
         """Close the connections once their answers have been written."""
         self._server.stop()
-        while self._open:
+        polls = 0
+        while self._open and polls < MAX_STOP_POLLS:
+            polls += 1
             await asyncio.sleep(STOP_POLL_S)
+        if self._open:
+            _log.error('{} requests end without an answer', len(self._open))
         await self._server.close_all_connections()
 
     def start_request(self, server_conn, request_conn):
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -1,11 +1,8 @@
 """Front end to the operator's row of the store."""
 
-import asyncio
-
-from laburnumlatch import docmsg
 from laburnumlatch import errors
-from laburnumlatch import frontends
 from laburnumlatch import logs
+from laburnumlatch import storelink
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import configrows
 
@@ -15,49 +12,24 @@
 _log = logs.logger('config')
 
 
-class ConfigLink(frontends.FrontEnd):
+class ConfigLink(storelink.StoreLink):
     """Reads and watches the configuration."""
 
     kinds = (messages.ReadConfiguration, messages.WatchConfiguration)
 
-    def __init__(self, post, store):
-        """Talk to `store`, a `store.Store`."""
-        super().__init__(post)
-        self._store = store
-        self._tasks = set()
-
-    async def start(self):
-        """Open nothing: connections are made when they are needed."""
-
-    async def stop(self):
-        """Drop the calls that wait for an answer."""
-        for task in self._tasks:
-            task.cancel()
-
-    def carry_out(self, message):
-        """Start one call."""
-        task = asyncio.ensure_future(self._answer(message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _answer(self, message):
-        try:
-            changes = await self._ask(message)
-        except errors.StoreError as error:
-            self._post(docmsg.StoreFailed(message.ticket, str(error)))
-            return
-        self._post(
-            messages.ConfigurationRead(
-                message.ticket,
-                tuple(_configurations(changes.rows)),
-                changes.version,
-            ),
-        )
-
-    async def _ask(self, message):
+    async def ask(self, message):
+        """Return the `messages.ConfigurationRead` for one call."""
         if isinstance(message, messages.ReadConfiguration):
-            return await self._store.read(TABLE)
-        return await self._store.watch(TABLE, message.after, message.wait_ms)
+            changes = await self._store.read(TABLE)
+        else:
+            changes = await self._store.watch(
+                TABLE, message.after, message.wait_ms
+            )
+        return messages.ConfigurationRead(
+            message.ticket,
+            tuple(_configurations(changes.rows)),
+            changes.version,
+        )
 
 
 def _configurations(rows):
--- a/laburnumlatch/storelink.py
+++ b/laburnumlatch/storelink.py
@@ -37,16 +37,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, message):
-        try:
-            answer = await self._ask(message)
-        except errors.VersionConflictError:
-            answer = docmsg.StoreRefused(message.ticket)
-        except errors.StoreError as error:
-            answer = docmsg.StoreFailed(message.ticket, str(error))
-        self._post(answer)
-
-    async def _ask(self, message):
+    async def ask(self, message):
+        """Return the answer to one call; raise `errors.StoreError`."""
         if isinstance(message, docmsg.StoreScan):
             found = await self._store.scan(message.prefix, message.after)
             return docmsg.StoreScanned(message.ticket, found)
@@ -65,6 +57,15 @@
         )
         return docmsg.StoreWritten(message.ticket, version)
 
+    async def _answer(self, message):
+        try:
+            answer = await self.ask(message)
+        except errors.VersionConflictError:
+            answer = docmsg.StoreRefused(message.ticket)
+        except errors.StoreError as error:
+            answer = docmsg.StoreFailed(message.ticket, str(error))
+        self._post(answer)
+
 
 def _read(message, changes):
     return docmsg.StoreChanges(message.ticket, changes.rows, changes.version)
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -247,6 +247,28 @@
         assert not net.backends['b2'].running
         assert net.now <= net.stopped['b2'] + 50
 
+    @pytest.mark.parametrize('is_store_down', [False, True])
+    def test_callers_who_stay_are_answered(self, is_store_down):
+        """Guards against requests that are open when the process must end.
+
+        Callers of a failure domain with most of its agents stopping go on
+        sending to a stopping agent.
+        """
+        net = meshnet.deployment()
+        for backend in net.backends.values():
+            backend.work_ms = 600
+        net.store.is_down = is_store_down
+        net.post('b2', messages.Stopping())
+        numbers = []
+        while not net.stopped:
+            numbers.append(
+                net.call('b2', '/look/', net.rng.randrange(ranges.KEY_COUNT)),
+            )
+            net.run(40)
+        assert net.stopped['b2'] < net.now + 50
+        # The last one may cross the end.
+        assert all(net.outcomes[number] for number in numbers[:-1])
+
     def test_handover_token_goes_along(self):
         """Guards against planned moves that make keys cold."""
         net = meshnet.deployment()
