--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -115,8 +115,7 @@
 class PlanRow:
     """The newest plan of a service that this agent knows.
 
-    `row_version` is the version of the store's row. `pending` tells that a
-    write of this agent has not been answered yet.
+    `row_version` is the version of the store's row.
     """
 
     plan: ranges.Plan
