Check in the deployment tests that no work is sent for keys not held

An agent that sends work for keys its backend server does not hold gets a refusal that costs a slot and a round trip. The stand-in now notes such sends as violations, except until the first announcement of a new life can have come.

--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -503,6 +503,10 @@
             self.later(1, self.post, host_id, answer)
             return
         if backend.service == SERVICE and not backend.holds(key):
+            # The agent learns of a new life by its first announcement; only
+            # until then may it send work for keys that the life does not hold.
+            if self.now > backend.life.born + BEAT_MS + LINK_MS:
+                self.violations.append((self.now, host_id, 'not held', key))
             answer = messages.ExchangeFailed(
                 number=send.number,
                 exchange=send.exchange,
