--- a/laburnumlatch/cmdline.py
+++ b/laburnumlatch/cmdline.py
@@ -7,20 +7,20 @@
 import attrs
 import cappa
 
-from laburnumlatch import agent
-from laburnumlatch import bench
-from laburnumlatch import clock
-from laburnumlatch import errors
-from laburnumlatch import inspection
-from laburnumlatch import logs
-from laburnumlatch import progress
-from laburnumlatch import publish
-from laburnumlatch import report
-from laburnumlatch import settings
-from laburnumlatch import store
 from laburnumlatch import version
-from laburnumlatch import workload
-from laburnumlatch import workreport
+from laburnumlatch.core import clock
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import progress
+from laburnumlatch.core import store
+from laburnumlatch.experiments import bench
+from laburnumlatch.experiments import workload
+from laburnumlatch.experiments import workreport
+from laburnumlatch.operators import inspection
+from laburnumlatch.operators import publish
+from laburnumlatch.operators import report
+from laburnumlatch.slots import agent
+from laburnumlatch.slots import settings
 
 EXIT_BAD_INPUT = 1
 EXIT_UNAVAILABLE = 3
--- /dev/null
+++ b/laburnumlatch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plumbing that every agent shares: loop, tables, store, logs, encoding."""
--- a/laburnumlatch/datagrams.py
+++ b/laburnumlatch/core/datagrams.py
@@ -4,12 +4,11 @@
 import ipaddress
 import socket
 
-from laburnumlatch import errors
-from laburnumlatch import frontends
-from laburnumlatch import leasemsg
-from laburnumlatch import logs
-from laburnumlatch import settings
-from laburnumlatch import wire
+from laburnumlatch.core import addresses
+from laburnumlatch.core import errors
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.core import wire
 
 # Fits one Ethernet frame, so a datagram is never fragmented.
 MAX_BYTES = 1400
@@ -22,7 +21,7 @@
 class Datagrams(frontends.FrontEnd):
     """Sends and receives messages of fixed kinds on one address."""
 
-    def __init__(self, post, address, messages=leasemsg):
+    def __init__(self, post, address, messages):
         """Use the local UDP `address`, an `ip:port`.
 
         `messages` is the module with the `KINDS` and `SendDatagram`.
@@ -35,7 +34,7 @@
 
     async def start(self):
         """Open the socket; raise OSError if the address cannot be had."""
-        ip_text, port = settings.split_address(self._address)
+        ip_text, port = addresses.split_address(self._address)
         family = socket.AF_INET
         if ipaddress.ip_address(ip_text).version == 6:
             family = socket.AF_INET6
@@ -60,7 +59,7 @@
             _log.error('{} bytes are too long to send', len(body))
             return
         try:
-            self._socket.sendto(body, settings.split_address(message.address))
+            self._socket.sendto(body, addresses.split_address(message.address))
         except OSError as error:
             _log.debug('send to {} failed: {}', message.address, error)
 
--- a/laburnumlatch/findings.py
+++ b/laburnumlatch/core/findings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 
 
 @attrs.define(frozen=True, order=True)
--- a/laburnumlatch/metrics.py
+++ b/laburnumlatch/core/metrics.py
@@ -1,12 +1,11 @@
-"""System: counters and latency percentiles of a running agent."""
+"""Counters and latency percentiles of a running agent."""
 
 import re
 
 import attrs
 from hdrh import histogram
 
-from laburnumlatch import measures
-from laburnumlatch import requestmsg
+from laburnumlatch.core import histograms
 
 
 @attrs.define
@@ -22,22 +21,7 @@
     """Time from arrival to the end of the answer, by class, in ms."""
 
     class_name: str
-    recorded: histogram.HdrHistogram = attrs.Factory(measures.new_histogram)
-
-
-def run(world, now):
-    """Count the requests and answers of this tick before others take them."""
-    arrived = world.inbox.peek(requestmsg.RequestArrived)
-    if arrived:
-        count(world, 'arrived', len(arrived))
-    for ended in world.inbox.peek(requestmsg.AnswerEnded):
-        request = world.requests.get(ended.number)
-        if request is not None and request.exchange == ended.exchange:
-            count(world, 'answered')
-            observe(world, request.class_name, now - request.arrived)
-    broken = world.inbox.peek(requestmsg.ExchangeBroke)
-    if broken:
-        count(world, 'exchange broke', len(broken))
+    recorded: histogram.HdrHistogram = attrs.Factory(histograms.new_histogram)
 
 
 def count(world, name, amount=1):
@@ -54,7 +38,7 @@
     if row is None:
         row = world.latencies.put(class_name, Latency(class_name))
     row.recorded.record_value(
-        min(max(1, latency_ms), measures.MAX_LATENCY_MS),
+        min(max(1, latency_ms), histograms.MAX_LATENCY_MS),
     )
 
 
@@ -63,7 +47,7 @@
     return {
         'counters': {row.name: row.total for row in world.counters},
         'latency_ms': {
-            row.class_name: measures.percentiles(row.recorded)
+            row.class_name: histograms.percentiles(row.recorded)
             for row in world.latencies
         },
         'requests': len(world.requests),
@@ -74,7 +58,7 @@
     """Return all counters and percentiles as lines of name and number."""
     lines = [f'{_name(row.name)} {row.total}' for row in world.counters]
     for row in world.latencies:
-        for rank, latency_ms in measures.percentiles(row.recorded).items():
+        for rank, latency_ms in histograms.percentiles(row.recorded).items():
             name = _name(f'latency_ms {row.class_name} {rank}')
             lines.append(f'{name} {latency_ms}')
     return '\n'.join((*lines, f'requests_open {len(world.requests)}', ''))
--- a/laburnumlatch/store.py
+++ b/laburnumlatch/core/store.py
@@ -10,8 +10,8 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
+from laburnumlatch.core import errors
+from laburnumlatch.core import storemsg
 
 TIMEOUT_MS = 2000
 # Of stores that cannot wait for a change themselves.
@@ -40,7 +40,7 @@
 
     @abc.abstractmethod
     async def get(self, key):
-        """Return the `docmsg.StoreRow`; raise `errors.NotFoundError`."""
+        """Return the `storemsg.StoreRow`; raise `errors.NotFoundError`."""
 
     @abc.abstractmethod
     async def scan(self, prefix, after=0):
@@ -61,11 +61,11 @@
         return await self.transact((write,), guards)
 
     async def read(self, table):
-        """Return `docmsg.Changes` with all rows under a table's prefix."""
+        """Return `storemsg.Changes` with all rows under a table's prefix."""
         return _changes(await self.scan(table), 0)
 
     async def watch(self, table, after, wait_ms):
-        """Return `docmsg.Changes` newer than `after`, or none in `wait_ms`.
+        """Return `storemsg.Changes` newer than `after`, or none in `wait_ms`.
 
         Raises `errors.HistoryGoneError` if changes since `after` are no
         longer known, so that all rows have to be read.
@@ -137,7 +137,7 @@
 
 def _changes(found, after):
     newest = max((row.version for row in found), default=after)
-    return docmsg.Changes(found, newest)
+    return storemsg.Changes(found, newest)
 
 
 def _decode(response):
@@ -154,7 +154,7 @@
 
 
 def _row(fields):
-    return docmsg.StoreRow(
+    return storemsg.StoreRow(
         fields['key'],
         fields['version'],
         base64.b64decode(fields['body']),
--- a/laburnumlatch/storelink.py
+++ b/laburnumlatch/core/storelink.py
@@ -2,19 +2,19 @@
 
 import asyncio
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import frontends
+from laburnumlatch.core import errors
+from laburnumlatch.core import frontends
+from laburnumlatch.core import storemsg
 
 
 class StoreLink(frontends.FrontEnd):
     """Carries out store messages, each in its own task of the loop."""
 
     kinds = (
-        docmsg.StoreScan,
-        docmsg.StorePut,
-        docmsg.StoreRead,
-        docmsg.StoreWatch,
+        storemsg.StoreScan,
+        storemsg.StorePut,
+        storemsg.StoreRead,
+        storemsg.StoreWatch,
     )
 
     def __init__(self, post, store):
@@ -39,12 +39,12 @@
 
     async def ask(self, message):
         """Return the answer to one call; raise `errors.StoreError`."""
-        if isinstance(message, docmsg.StoreScan):
+        if isinstance(message, storemsg.StoreScan):
             found = await self._store.scan(message.prefix, message.after)
-            return docmsg.StoreScanned(message.ticket, found)
-        if isinstance(message, docmsg.StoreRead):
+            return storemsg.StoreScanned(message.ticket, found)
+        if isinstance(message, storemsg.StoreRead):
             return _read(message, await self._store.read(message.table))
-        if isinstance(message, docmsg.StoreWatch):
+        if isinstance(message, storemsg.StoreWatch):
             changes = await self._store.watch(
                 message.table, message.after, message.wait_ms
             )
@@ -55,17 +55,17 @@
             message.expected_version,
             message.guards,
         )
-        return docmsg.StoreWritten(message.ticket, version)
+        return storemsg.StoreWritten(message.ticket, version)
 
     async def _answer(self, message):
         try:
             answer = await self.ask(message)
         except errors.VersionConflictError:
-            answer = docmsg.StoreRefused(message.ticket)
+            answer = storemsg.StoreRefused(message.ticket)
         except errors.StoreError as error:
-            answer = docmsg.StoreFailed(message.ticket, str(error))
+            answer = storemsg.StoreFailed(message.ticket, str(error))
         self._post(answer)
 
 
 def _read(message, changes):
-    return docmsg.StoreChanges(message.ticket, changes.rows, changes.version)
+    return storemsg.StoreChanges(message.ticket, changes.rows, changes.version)
--- a/laburnumlatch/docmsg.py
+++ b/laburnumlatch/core/storemsg.py
@@ -1,10 +1,8 @@
-"""Messages about documents and the store."""
+"""Messages between systems and the front end to the store."""
 
 import attrs
 
-from laburnumlatch import rows
-
-# Store: from systems to the front end. `ticket` comes back in the answer.
+# From systems to the front end. `ticket` comes back in the answer.
 
 
 @attrs.define(frozen=True)
@@ -48,7 +46,7 @@
     wait_ms: int
 
 
-# Store: from the front end to systems.
+# From the front end to systems.
 
 
 @attrs.define(frozen=True)
@@ -106,51 +104,3 @@
 
     ticket: str
     detail: str
-
-
-# Documents: between agents, and from the store to the documents system.
-
-
-@attrs.define(frozen=True)
-class DocumentsOffered:
-    """Documents from the store or another agent."""
-
-    documents: tuple[rows.Document, ...]
-    source: str
-
-
-@attrs.define(frozen=True)
-class Summary:
-    """Hash of all documents that the agent at `sender` has."""
-
-    sender: str
-    top: str
-
-
-@attrs.define(frozen=True)
-class BucketHashes:
-    """Answer to a summary that differs: a hash for each bucket."""
-
-    sender: str
-    packed: bytes
-
-
-@attrs.define(frozen=True)
-class Digest:
-    """Versions an agent has: (kind, name, version) of each document.
-
-    All its documents in `buckets` are listed; others may be. The receiver
-    sends what it has newer and asks with another digest for the rest.
-    """
-
-    sender: str
-    versions: tuple[tuple[str, str, int], ...]
-    buckets: tuple[int, ...] = ()
-
-
-@attrs.define(frozen=True)
-class TellPeer:
-    """Send `message` to the agent whose peer address is `address`."""
-
-    address: str
-    message: Summary | BucketHashes | Digest | DocumentsOffered
--- a/laburnumlatch/ticking.py
+++ b/laburnumlatch/core/ticking.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from laburnumlatch import mailbox
-from laburnumlatch import tables
+from laburnumlatch.core import mailbox
+from laburnumlatch.core import tables
 
 
 @attrs.define(kw_only=True)
--- a/laburnumlatch/wire.py
+++ b/laburnumlatch/core/wire.py
@@ -5,7 +5,7 @@
 from cattrs import errors as cattrs_errors
 from cattrs.preconf import msgpack as msgpack_preconf
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 
 FORMAT_VERSION = 1
 
--- /dev/null
+++ b/laburnumlatch/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded workloads on fake clocks, and cost measurements."""
--- a/laburnumlatch/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -7,18 +7,18 @@
 
 import logbook
 
-from laburnumlatch import digests
-from laburnumlatch import documents
-from laburnumlatch import leasemsg
-from laburnumlatch import planning
-from laburnumlatch import planrows
-from laburnumlatch import plans
-from laburnumlatch import requestmsg
-from laburnumlatch import rows
-from laburnumlatch import settings
-from laburnumlatch import ticks
-from laburnumlatch import wire
-from laburnumlatch import world as world_module
+from laburnumlatch.core import wire
+from laburnumlatch.slots import digests
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import planning
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import settings
+from laburnumlatch.slots import ticks
+from laburnumlatch.slots import world as world_module
 
 SIZES = (100, 1000, 10_000)
 # Choosing witnesses compares each host with every other: 1,000 hosts took 16 s.
--- a/laburnumlatch/measures.py
+++ b/laburnumlatch/experiments/measures.py
@@ -7,11 +7,9 @@
 import math
 
 import attrs
-from hdrh import histogram
 
-MAX_LATENCY_MS = 600_000
-SIGNIFICANT_DIGITS = 3
-PERCENTILES = (50, 90, 99, 99.9)
+from laburnumlatch.core import histograms
+
 BUCKET_MS = 100
 
 
@@ -89,14 +87,14 @@
 
 def latency(results):
     """Return percentiles by class of useful answers, dicts in ms."""
-    by_class = collections.defaultdict(new_histogram)
+    by_class = collections.defaultdict(histograms.new_histogram)
     for ended in results:
         if ended.is_useful:
             by_class[ended.class_name].record_value(
                 max(1, ended.ended - ended.arrived),
             )
     return {
-        class_name: percentiles(recorded)
+        class_name: histograms.percentiles(recorded)
         for class_name, recorded in sorted(by_class.items())
     }
 
@@ -111,21 +109,3 @@
         class_name: useful / total
         for class_name, (useful, total) in sorted(counts.items())
     }
-
-
-def new_histogram():
-    """Return an empty histogram of latencies from 1 ms to 10 min."""
-    return histogram.HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
-
-
-def percentiles(recorded):
-    """Return a dict of percentiles in ms, with `count` and `max`."""
-    found = {
-        f'p{percent:g}': recorded.get_value_at_percentile(percent)
-        for percent in PERCENTILES
-    }
-    return {
-        'count': recorded.get_total_count(),
-        **found,
-        'max': recorded.get_max_value(),
-    }
--- a/laburnumlatch/schedule.py
+++ b/laburnumlatch/experiments/schedule.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 
-from laburnumlatch import clock
+from laburnumlatch.core import clock
 
 
 class Schedule:
--- a/laburnumlatch/workload.py
+++ b/laburnumlatch/experiments/workload.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from laburnumlatch import errors
-from laburnumlatch import rows
+from laburnumlatch.core import errors
+from laburnumlatch.slots import rows
 
 MS_PER_S = 1000
 KEYS = 2000
--- a/laburnumlatch/workmoves.py
+++ b/laburnumlatch/experiments/workmoves.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from laburnumlatch import hotslots
-from laburnumlatch import planrows
+from laburnumlatch.slots import hotslots
+from laburnumlatch.slots import planrows
 
 INTERVAL_MS = 1000
 
--- a/laburnumlatch/workreport.py
+++ b/laburnumlatch/experiments/workreport.py
@@ -6,12 +6,12 @@
 import attrs
 import logbook
 
-from laburnumlatch import choice
-from laburnumlatch import errors
-from laburnumlatch import measures
-from laburnumlatch import publish
-from laburnumlatch import workload
-from laburnumlatch import workrun
+from laburnumlatch.core import errors
+from laburnumlatch.experiments import measures
+from laburnumlatch.experiments import workload
+from laburnumlatch.experiments import workrun
+from laburnumlatch.operators import publish
+from laburnumlatch.slots import choice
 
 DIGITS = 3
 
--- a/laburnumlatch/workrun.py
+++ b/laburnumlatch/experiments/workrun.py
@@ -10,16 +10,16 @@
 
 import attrs
 
-from laburnumlatch import fakeserver
-from laburnumlatch import measures
-from laburnumlatch import metrics
-from laburnumlatch import requestmsg
-from laburnumlatch import schedule
-from laburnumlatch import servermsg
-from laburnumlatch import ticks
-from laburnumlatch import workload
-from laburnumlatch import workmoves
-from laburnumlatch import workworlds
+from laburnumlatch.experiments import fakeserver
+from laburnumlatch.experiments import measures
+from laburnumlatch.experiments import schedule
+from laburnumlatch.experiments import workload
+from laburnumlatch.experiments import workmoves
+from laburnumlatch.experiments import workworlds
+from laburnumlatch.slots import counting
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import ticks
 
 ALWAYS_RETRY_MS = 1
 # A caller that ignores Retry-After stops after this many attempts; without a
@@ -27,7 +27,7 @@
 MAX_ATTEMPTS = 10
 MIN_RETRY_MS = 10
 DRAIN_MS = 10_000
-_SYSTEMS = ticks.ORDER[ticks.ORDER.index(metrics) :]
+_SYSTEMS = ticks.ORDER[ticks.ORDER.index(counting) :]
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/workworlds.py
+++ b/laburnumlatch/experiments/workworlds.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from laburnumlatch import fakeserver
-from laburnumlatch import leaserows
-from laburnumlatch import planrows
-from laburnumlatch import plans
-from laburnumlatch import rows
-from laburnumlatch import settings
-from laburnumlatch import workload
-from laburnumlatch import world as world_module
+from laburnumlatch.experiments import fakeserver
+from laburnumlatch.experiments import workload
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import settings
+from laburnumlatch.slots import world as world_module
 
 NOWHERE = '127.0.0.1:1'
 FOREVER = 1_000_000_000_000
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from laburnumlatch import docmsg
-from laburnumlatch import logs
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
 from laburnumlatch.mesh import messages
 
 TICKET = 'configuration/'
@@ -22,7 +22,7 @@
     """Follow the operator's configuration in the store."""
     for changed in world.inbox.take(messages.SettingsChanged):
         _take_settings(world, changed.settings)
-    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+    for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
         world.is_watching_configuration = False
         world.timers.put(READ_TICKET, now + RETRY_MS)
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -9,9 +9,9 @@
 import struct
 import zlib
 
-from laburnumlatch import errors
-from laburnumlatch import logs
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import peermsg
 
 _LENGTH = struct.Struct('>I')
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -5,7 +5,7 @@
 backend server's token goes to the new owner.
 """
 
-from laburnumlatch import logs
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import handovers
 from laburnumlatch.mesh import leaserows
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -1,6 +1,6 @@
 """System: leases of owners, asked for and given by datagrams."""
 
-from laburnumlatch import logs
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leasemsg
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -1,6 +1,6 @@
 """System: the planned end of this process."""
 
-from laburnumlatch import logs
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import messages
 
 # Callers leave after two status checks a second apart; requests that they
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -1,9 +1,9 @@
 """System: hosts and plans by the rows of the store, the own backend server."""
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import logs
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
@@ -38,19 +38,19 @@
 def run(world, now):
     """Follow the rows, take in announcements, keep the own row current."""
     if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
-        world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+        world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
     for told in world.inbox.take(messages.PlanTold):
         take_plan(world, told.plan, told.row_version)
     if _misses_plans(world) and world.due(PLANS_TICKET, PLANS_MS, now):
-        world.outbox.post(docmsg.StoreRead(PLANS_TICKET, PLAN_PREFIX))
-    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+        world.outbox.post(storemsg.StoreRead(PLANS_TICKET, PLAN_PREFIX))
+    for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _failed(world, failed, now)
-    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+    for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
         _changed(world, read)
-    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+    for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         world.own_row_version = written.version
         world.timers.pop(ROW_TICKET)
-    if world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+    if world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _rescan(world)
     _announcements(world, now)
     _close(world, now)
@@ -103,7 +103,7 @@
 
 def _rescan(world):
     world.timers.pop(ROW_TICKET)
-    world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+    world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
 def _misses_plans(world):
@@ -126,7 +126,7 @@
         world.wake_at(now + RETRY_MS)
     elif failed.ticket == ROW_TICKET:
         world.timers.put(ROW_TICKET, now + RETRY_MS)
-        world.outbox.post(docmsg.StoreRead(SCAN_TICKET, TABLE))
+        world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
 def _changed(world, read):
@@ -137,7 +137,7 @@
     if read.ticket == WATCH_TICKET or not world.is_watching:
         world.is_watching = True
         world.outbox.post(
-            docmsg.StoreWatch(WATCH_TICKET, TABLE, read.version, WATCH_MS),
+            storemsg.StoreWatch(WATCH_TICKET, TABLE, read.version, WATCH_MS),
         )
     if not world.has_members:
         _log.info('members known version={}', read.version)
@@ -260,7 +260,7 @@
     if not world.due(ROW_TICKET, CALL_MS, now):
         return
     world.outbox.post(
-        docmsg.StorePut(
+        storemsg.StorePut(
             ROW_TICKET,
             f'{HOST_PREFIX}{world.host_id}',
             wire.pack(record),
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -1,6 +1,6 @@
 """System: answers and failures of exchanges, and repeats of safe requests."""
 
-from laburnumlatch import logs
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import placement
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from laburnumlatch import frontends
-from laburnumlatch import logs
-from laburnumlatch import settings
-from laburnumlatch import wire
+from laburnumlatch.core import addresses
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
@@ -49,7 +49,7 @@
     async def start(self):
         """Listen; raise OSError if the address cannot be had."""
         loop = asyncio.get_running_loop()
-        ip_text, port = settings.split_address(self._address)
+        ip_text, port = addresses.split_address(self._address)
         self._server = await loop.create_server(
             lambda: _Inbound(self),
             ip_text,
@@ -254,7 +254,7 @@
                 self._link.post(_event_of(message))
 
     async def _connect(self):
-        ip_text, port = settings.split_address(self.address)
+        ip_text, port = addresses.split_address(self.address)
         connecting = asyncio.get_running_loop().create_connection(
             lambda: self, ip_text, port
         )
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -1,6 +1,6 @@
 """System: takes requests in and chooses the host that serves each."""
 
-from laburnumlatch import metrics
+from laburnumlatch.core import metrics
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import leaving
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from laburnumlatch import docmsg
-from laburnumlatch import logs
-from laburnumlatch import wire
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
@@ -57,21 +57,21 @@
 
 
 def _answers(world, now):
-    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+    for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         write = world.plan_writes.pop(written.ticket)
         if write is not None:
             members.take_plan(world, write.plan, written.version)
             _tell_all(world, write.plan, written.version)
-    for refused in world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+    for refused in world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _log.info('plan refused ticket={}', refused.ticket)
         world.plan_writes.pop(refused.ticket)
         world.role.has_plans = False
-    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+    for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
         write = world.plan_writes.get(failed.ticket)
         if write is not None:
             write.failed = now
-    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+    for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
         _take_read(world, read)
 
 
@@ -111,7 +111,7 @@
     is_unsure = is_settled or not world.role.has_plans
     if is_unsure and world.due('planner/read', READ_MS, now):
         world.outbox.post(
-            docmsg.StoreRead(f'{READ_TICKET}{now}', members.PLAN_PREFIX)
+            storemsg.StoreRead(f'{READ_TICKET}{now}', members.PLAN_PREFIX)
         )
 
 
@@ -135,7 +135,7 @@
     ticket = f'{TICKET}{world.next_ticket()}'
     world.plan_writes.put(ticket, leaserows.PlanWrite(plan))
     world.outbox.post(
-        docmsg.StorePut(
+        storemsg.StorePut(
             ticket,
             f'{members.PLAN_PREFIX}{plan.service}',
             wire.pack(plan),
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -1,7 +1,7 @@
 """Steps in the life of a request row that several systems share."""
 
-from laburnumlatch import logs
-from laburnumlatch import metrics
+from laburnumlatch.core import logs
+from laburnumlatch.core import metrics
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import rows
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -1,9 +1,9 @@
 """System: who holds the planner role, by one row of the store."""
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import logs
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
@@ -92,15 +92,15 @@
 
 
 def _answers(world, now):
-    for read in world.inbox.take_answers(docmsg.StoreChanges, TICKET):
+    for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
         world.role.pending = ''
         _read(world, read, now)
-    for written in world.inbox.take_answers(docmsg.StoreWritten, TICKET):
+    for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         _written(world, written, now)
-    if world.inbox.take_answers(docmsg.StoreRefused, TICKET):
+    if world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         world.role.pending = ''
         _ask(world, now)
-    for failed in world.inbox.take_answers(docmsg.StoreFailed, TICKET):
+    for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
         world.role.pending = ''
         world.role.has_store = False
@@ -158,7 +158,9 @@
     role.pending = ticket
     role.sent = now
     world.outbox.post(
-        docmsg.StorePut(ticket, ROW, wire.pack(record), role.row_version or 0),
+        storemsg.StorePut(
+            ticket, ROW, wire.pack(record), role.row_version or 0
+        ),
     )
 
 
@@ -242,7 +244,7 @@
 def _ask(world, now):
     world.role.pending = READ_TICKET
     world.role.sent = now
-    world.outbox.post(docmsg.StoreRead(READ_TICKET, TABLE))
+    world.outbox.post(storemsg.StoreRead(READ_TICKET, TABLE))
 
 
 def _rank(world):
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from laburnumlatch import tables
-from laburnumlatch import ticking
+from laburnumlatch.core import tables
+from laburnumlatch.core import ticking
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
--- /dev/null
+++ b/laburnumlatch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' files: check, merge, publish, report."""
--- a/laburnumlatch/configuration.py
+++ b/laburnumlatch/operators/configuration.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from laburnumlatch import hashing
-from laburnumlatch import rows
+from laburnumlatch.core import hashing
+from laburnumlatch.slots import rows
 
 DOCUMENT_KIND = 'config'
 # Not allowed as the name of a service, see `operatorfile`.
--- a/laburnumlatch/inspection.py
+++ b/laburnumlatch/operators/inspection.py
@@ -7,11 +7,12 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
-from laburnumlatch import documents
-from laburnumlatch import errors
-from laburnumlatch import rows
-from laburnumlatch import settings
-from laburnumlatch import world as world_module
+from laburnumlatch.core import addresses
+from laburnumlatch.core import errors
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import settings
+from laburnumlatch.slots import world as world_module
 
 TIMEOUT_S = 5
 HTTP_OK = 200
@@ -44,9 +45,9 @@
     Raises `errors.InvalidInputError` with the agent's own words if it
     refuses, `errors.AgentUnavailableError` if it does not answer.
     """
-    if not settings.is_address(address):
+    if not addresses.is_address(address):
         raise errors.InvalidInputError(
-            f'agent {address!r}; expected {settings.ADDRESS_EXPECTED}',
+            f'agent {address!r}; expected {addresses.ADDRESS_EXPECTED}',
         )
     quoted = '/'.join(urlparse.quote(part, safe='') for part in path)
     client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
--- a/laburnumlatch/merge.py
+++ b/laburnumlatch/operators/merge.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from laburnumlatch import configuration
+from laburnumlatch.operators import configuration
 
 
 def merge(*sources):
--- a/laburnumlatch/operatorfile.py
+++ b/laburnumlatch/operators/operatorfile.py
@@ -1,11 +1,11 @@
 """One operators' file: the intent of one team for one service."""
 
-from laburnumlatch import configuration
-from laburnumlatch import findings
-from laburnumlatch import hashing
-from laburnumlatch import rows
-from laburnumlatch import wire
-from laburnumlatch import yamlnodes
+from laburnumlatch.core import findings
+from laburnumlatch.core import hashing
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.operators import yamlnodes
+from laburnumlatch.slots import rows
 
 MAX_SLOTS = 65536
 DEFAULT_SLOTS = 64
--- a/laburnumlatch/publish.py
+++ b/laburnumlatch/operators/publish.py
@@ -8,13 +8,13 @@
 
 import attrs
 
-from laburnumlatch import configuration
-from laburnumlatch import errors
-from laburnumlatch import findings
-from laburnumlatch import merge
-from laburnumlatch import operatorfile
-from laburnumlatch import store as store_module
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import findings
+from laburnumlatch.core import store as store_module
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.operators import merge
+from laburnumlatch.operators import operatorfile
 
 MAX_ATTEMPTS = 20
 FIRST_PAUSE_S = 0.02
--- a/laburnumlatch/report.py
+++ b/laburnumlatch/operators/report.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from laburnumlatch import configuration
-from laburnumlatch import documents
-from laburnumlatch import errors
-from laburnumlatch import hashing
-from laburnumlatch import merge
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import hashing
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.operators import merge
+from laburnumlatch.slots import documents
 
 
 def to_json(shown):
--- a/laburnumlatch/yamlnodes.py
+++ b/laburnumlatch/operators/yamlnodes.py
@@ -5,8 +5,8 @@
 import attrs
 import yaml
 
-from laburnumlatch import errors
-from laburnumlatch import findings
+from laburnumlatch.core import errors
+from laburnumlatch.core import findings
 
 MAX_DEPTH = 16
 # Names become segments of URL paths and of store keys.
--- a/laburnumlatch/platform/__main__.py
+++ b/laburnumlatch/platform/__main__.py
@@ -3,8 +3,8 @@
 import asyncio
 import sys
 
-from laburnumlatch import errors
-from laburnumlatch import logs
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
 from laburnumlatch.platform import bootfile
 from laburnumlatch.platform import runner
 
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -4,7 +4,7 @@
 import json
 import types
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.platform import durations
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -7,9 +7,9 @@
 from tornado import httpclient
 from tornado import httputil
 
-from laburnumlatch import curlclient
-from laburnumlatch import frontends
-from laburnumlatch import logs
+from laburnumlatch.core import curlclient
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import durations
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -4,9 +4,9 @@
 import pathlib
 import tomllib
 
-from laburnumlatch import errors
-from laburnumlatch import findings
-from laburnumlatch import settings as addresses
+from laburnumlatch.core import addresses
+from laburnumlatch.core import errors
+from laburnumlatch.core import findings
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import durations
 
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -8,9 +8,9 @@
 from tornado import iostream
 from tornado import netutil
 
-from laburnumlatch import frontends
-from laburnumlatch import logs
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import wire
@@ -65,7 +65,7 @@
 
     async def start(self):
         """Listen; raise OSError if the address cannot be had."""
-        ip_text, port = settings.split_address(self._own.caller_address)
+        ip_text, port = addresses.split_address(self._own.caller_address)
         self._server = httpserver.HTTPServer(
             self,
             max_header_size=self._limits.header_bytes * 2,
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -1,8 +1,8 @@
 """Front end to the operator's row of the store."""
 
-from laburnumlatch import errors
-from laburnumlatch import logs
-from laburnumlatch import storelink
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import storelink
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import configrows
 
--- a/laburnumlatch/platform/configrows.py
+++ b/laburnumlatch/platform/configrows.py
@@ -3,7 +3,7 @@
 import json
 import types
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import durations
 
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -7,11 +7,11 @@
 from tornado import netutil
 from tornado import web
 
-from laburnumlatch import errors
-from laburnumlatch import frontends
-from laburnumlatch import logs
-from laburnumlatch import metrics
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
+from laburnumlatch.core import errors
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.core import metrics
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.platform import announcements
 
@@ -121,7 +121,7 @@
             asked.set_result(message.is_accepted)
 
     def _listen(self, address, handlers):
-        ip_text, port = settings.split_address(address)
+        ip_text, port = addresses.split_address(address)
         server = httpserver.HTTPServer(
             web.Application(handlers, log_function=_log_nothing),
             max_body_size=MAX_BODY_BYTES,
--- a/laburnumlatch/platform/durations.py
+++ b/laburnumlatch/platform/durations.py
@@ -3,7 +3,7 @@
 import math
 import re
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 
 MS_PER_S = 1000
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -5,12 +5,12 @@
 import secrets
 import signal
 
-from laburnumlatch import clock
-from laburnumlatch import datagrams
-from laburnumlatch import engine
-from laburnumlatch import errors
-from laburnumlatch import logs
-from laburnumlatch import storelink
+from laburnumlatch.core import clock
+from laburnumlatch.core import datagrams
+from laburnumlatch.core import engine
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import storelink
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -11,10 +11,10 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
-from laburnumlatch import curlclient
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import store
+from laburnumlatch.core import curlclient
+from laburnumlatch.core import errors
+from laburnumlatch.core import store
+from laburnumlatch.core import storemsg
 
 CONNECT_TIMEOUT_MS = 600
 # A slow store takes about 60 times as long as the 8 ms of a transaction.
@@ -55,7 +55,7 @@
         return tuple(row for row in changes.rows if row.version > after)
 
     async def read(self, table):
-        """Return `docmsg.Changes` with all rows under a prefix."""
+        """Return `storemsg.Changes` with all rows under a prefix."""
         name, _, start = table.partition('/')
         found = []
         version = None
@@ -71,10 +71,10 @@
             # The least key that is greater than the last one.
             start = f'{rows[-1].key.partition("/")[2]}\0'
         own = tuple(row for row in found if row.key.startswith(table))
-        return docmsg.Changes(own, version)
+        return storemsg.Changes(own, version)
 
     async def watch(self, table, after, wait_ms):
-        """Return `docmsg.Changes` newer than `after`, or none in `wait_ms`."""
+        """Return `storemsg.Changes` after a version, or none in `wait_ms`."""
         query = {
             'table': table.rstrip('/'),
             'after': after,
@@ -88,7 +88,7 @@
             for fields in document['rows']
             if not fields.get('removed')
         )
-        return docmsg.Changes(rows, document['ver'])
+        return storemsg.Changes(rows, document['ver'])
 
     async def transact(self, writes, guards=()):
         """Write all rows or none; return the version they all get."""
@@ -152,7 +152,7 @@
 
 
 def _row(fields):
-    return docmsg.StoreRow(
+    return storemsg.StoreRow(
         f'{fields["table"]}/{fields["key"]}',
         fields['ver'],
         base64.b64decode(fields['value']),
--- a/laburnumlatch/adminapi.py
+++ b/laburnumlatch/slots/adminapi.py
@@ -8,15 +8,15 @@
 import attrs
 from tornado import web
 
-from laburnumlatch import errors
-from laburnumlatch import findings
-from laburnumlatch import logs
-from laburnumlatch import metrics
-from laburnumlatch import ownership
-from laburnumlatch import publish
-from laburnumlatch import report
-from laburnumlatch import store as store_module
-from laburnumlatch import world as world_module
+from laburnumlatch.core import errors
+from laburnumlatch.core import findings
+from laburnumlatch.core import logs
+from laburnumlatch.core import metrics
+from laburnumlatch.core import store as store_module
+from laburnumlatch.operators import publish
+from laburnumlatch.operators import report
+from laburnumlatch.slots import holders
+from laburnumlatch.slots import world as world_module
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 PUBLISH_EXPECTED = (
@@ -125,7 +125,7 @@
         except errors.InvalidInputError as error:
             self.answer({'error': str(error)}, http.HTTPStatus.NOT_FOUND)
             return
-        held = ownership.holding(world, service, shown['slot'])
+        held = holders.holding(world, service, shown['slot'])
         serving = None if held is None else attrs.asdict(held)
         self.answer({**shown, 'serving': serving})
 
--- a/laburnumlatch/admission.py
+++ b/laburnumlatch/slots/admission.py
@@ -6,11 +6,11 @@
 
 import math
 
-from laburnumlatch import hotslots
-from laburnumlatch import queues
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import rows
+from laburnumlatch.slots import hotslots
+from laburnumlatch.slots import queues
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import rows
 
 MIN_RETRY_AFTER_MS = 20
 # A cold backend server gets all its concurrency slots after this time.
--- a/laburnumlatch/agent.py
+++ b/laburnumlatch/slots/agent.py
@@ -4,22 +4,23 @@
 import secrets
 import signal
 
-from laburnumlatch import adminapi
-from laburnumlatch import callers
-from laburnumlatch import calls
-from laburnumlatch import clock
-from laburnumlatch import datagrams
-from laburnumlatch import engine
-from laburnumlatch import logs
-from laburnumlatch import peers
-from laburnumlatch import serverapi
-from laburnumlatch import servermsg
-from laburnumlatch import servers
-from laburnumlatch import store
-from laburnumlatch import storelink
-from laburnumlatch import ticks
-from laburnumlatch import upstream
-from laburnumlatch import world as worlds
+from laburnumlatch.core import clock
+from laburnumlatch.core import datagrams
+from laburnumlatch.core import engine
+from laburnumlatch.core import logs
+from laburnumlatch.core import store
+from laburnumlatch.core import storelink
+from laburnumlatch.slots import adminapi
+from laburnumlatch.slots import callers
+from laburnumlatch.slots import calls
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import peers
+from laburnumlatch.slots import serverapi
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import servers
+from laburnumlatch.slots import ticks
+from laburnumlatch.slots import upstream
+from laburnumlatch.slots import world as worlds
 
 INCARNATION_BITS = 48
 # Requests in flight may take this long to finish when the agent stops.
@@ -91,7 +92,7 @@
                     *adminapi.handlers(admin),
                 ],
             ),
-            datagrams.Datagrams(self.post, settings.datagram_address),
+            datagrams.Datagrams(self.post, settings.datagram_address, leasemsg),
             upstream.Upstream(self.post, open_calls, settings.host_id),
             servers.Servers(self.post),
             peers.Peers(self.post, settings.peer_address),
--- a/laburnumlatch/balance.py
+++ b/laburnumlatch/slots/balance.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from laburnumlatch import plans
-from laburnumlatch import rows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import rows
 
 # A host below this part of its share is filled up; less is not worth a move.
 FILL_BELOW = 0.75
--- a/laburnumlatch/callers.py
+++ b/laburnumlatch/slots/callers.py
@@ -10,14 +10,14 @@
 from tornado import netutil
 from tornado import web
 
-from laburnumlatch import calls
-from laburnumlatch import edges
-from laburnumlatch import frontends
-from laburnumlatch import headers
-from laburnumlatch import heads
-from laburnumlatch import logs
-from laburnumlatch import requestmsg
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.slots import calls
+from laburnumlatch.slots import edges
+from laburnumlatch.slots import headers
+from laburnumlatch.slots import heads
+from laburnumlatch.slots import requestmsg
 
 MS_PER_S = 1000
 # More than `heads.MAX_HEADER_BYTES`, so that most refusals can say why.
@@ -246,7 +246,7 @@
 
     async def start(self):
         """Listen; raise OSError if the address cannot be had."""
-        ip_text, port = settings.split_address(self._address)
+        ip_text, port = addresses.split_address(self._address)
         self._server = httpserver.HTTPServer(
             self._app,
             max_header_size=MAX_HEADER_BYTES,
--- a/laburnumlatch/candidates.py
+++ b/laburnumlatch/slots/candidates.py
@@ -2,7 +2,7 @@
 
 import bisect
 
-from laburnumlatch import hashing
+from laburnumlatch.core import hashing
 
 # Enough to meet every failure domain of a region (36 domains in 10 regions)
 # many times over; more would make a plan cost the square of the hosts.
--- a/laburnumlatch/choice.py
+++ b/laburnumlatch/slots/choice.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from laburnumlatch import rows
+from laburnumlatch.slots import rows
 
 SLOWNESS_WEIGHT = 0.1
 TYPICAL_WEIGHT = 0.02
--- a/laburnumlatch/claims.py
+++ b/laburnumlatch/slots/claims.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from laburnumlatch import fences
-from laburnumlatch import leasemsg
-from laburnumlatch import logs
-from laburnumlatch import planrows
-from laburnumlatch import plans
-from laburnumlatch import proposals
+from laburnumlatch.core import logs
+from laburnumlatch.slots import fences
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import proposals
 
 REPEAT_MS = 300
 TIMER = 'claims/repeat'
--- a/laburnumlatch/deadlines.py
+++ b/laburnumlatch/slots/deadlines.py
@@ -1,9 +1,9 @@
 """System: ends requests whose deadline has passed, and silent exchanges."""
 
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import retries
-from laburnumlatch import rows
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import retries
+from laburnumlatch.slots import rows
 
 # A body up to this size is kept whole until the answer begins, so that the
 # request can be sent again.
--- a/laburnumlatch/departures.py
+++ b/laburnumlatch/slots/departures.py
@@ -1,13 +1,13 @@
 """Planned departure of this host, and of a backend server that failed."""
 
-from laburnumlatch import grants
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import logs
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import rows
+from laburnumlatch.core import logs
+from laburnumlatch.slots import grants
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import rows
 
 REPEAT_MS = 100
 TIMER = 'departures/surrender'
--- a/laburnumlatch/digests.py
+++ b/laburnumlatch/slots/digests.py
@@ -2,8 +2,8 @@
 
 import struct
 
-from laburnumlatch import docrows
-from laburnumlatch import hashing
+from laburnumlatch.core import hashing
+from laburnumlatch.slots import docrows
 
 HEXADECIMAL = 16
 MARK_BYTES = 4
--- a/laburnumlatch/dispatch.py
+++ b/laburnumlatch/slots/dispatch.py
@@ -1,14 +1,14 @@
 """System: starts queued requests at the local backend server."""
 
-from laburnumlatch import admission
-from laburnumlatch import deadlines
-from laburnumlatch import logs
-from laburnumlatch import ownership
-from laburnumlatch import queues
-from laburnumlatch import records
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import rows
+from laburnumlatch.core import logs
+from laburnumlatch.slots import admission
+from laburnumlatch.slots import deadlines
+from laburnumlatch.slots import ownership
+from laburnumlatch.slots import queues
+from laburnumlatch.slots import records
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import rows
 
 _log = logs.logger('dispatch')
 
--- a/laburnumlatch/docrows.py
+++ b/laburnumlatch/slots/docrows.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from laburnumlatch import configuration
-from laburnumlatch import tables
+from laburnumlatch.core import tables
+from laburnumlatch.operators import configuration
 
 BUCKETS = 256
 
--- a/laburnumlatch/documents.py
+++ b/laburnumlatch/slots/documents.py
@@ -8,17 +8,18 @@
 
 import attrs
 
-from laburnumlatch import configuration
-from laburnumlatch import digests
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import hashing
-from laburnumlatch import logs
-from laburnumlatch import merge
-from laburnumlatch import planrows
-from laburnumlatch import rows
-from laburnumlatch import tables
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import hashing
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import tables
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.operators import merge
+from laburnumlatch.slots import digests
+from laburnumlatch.slots import docmsg
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import rows
 
 CONFIG = configuration.DOCUMENT_KIND
 PLAN = 'plan'
@@ -44,9 +45,9 @@
 
 def run(world, now):
     """Read the store when due and take in newer documents."""
-    for scanned in world.inbox.take_answers(docmsg.StoreScanned, POLL_TICKET):
+    for scanned in world.inbox.take_answers(storemsg.StoreScanned, POLL_TICKET):
         _take_in(world, scanned, now)
-    for failed in world.inbox.take_answers(docmsg.StoreFailed, POLL_TICKET):
+    for failed in world.inbox.take_answers(storemsg.StoreFailed, POLL_TICKET):
         _back_off(world, failed, now)
     for offer in world.inbox.take(docmsg.DocumentsOffered):
         for document in offer.documents:
@@ -132,7 +133,7 @@
         return
     world.store_reader.next_read = now + ANSWER_MS
     cursor = world.store_reader.cursor
-    world.outbox.post(docmsg.StoreScan(POLL_TICKET, '', cursor))
+    world.outbox.post(storemsg.StoreScan(POLL_TICKET, '', cursor))
 
 
 def _hosts_of_region(world):
--- a/laburnumlatch/edges.py
+++ b/laburnumlatch/slots/edges.py
@@ -4,8 +4,8 @@
 
 from tornado import web
 
-from laburnumlatch import headers
-from laburnumlatch import requestmsg
+from laburnumlatch.slots import headers
+from laburnumlatch.slots import requestmsg
 
 # A caller that still sends its body may read its answer only after it; a
 # connection that closes on unread bytes would destroy that answer.
--- a/laburnumlatch/fences.py
+++ b/laburnumlatch/slots/fences.py
@@ -1,8 +1,8 @@
 """Votes that reached this host, and what they prove under a plan."""
 
-from laburnumlatch import leasemsg
-from laburnumlatch import planrows
-from laburnumlatch import plans
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
 
 
 def take_votes(world):
--- a/laburnumlatch/grants.py
+++ b/laburnumlatch/slots/grants.py
@@ -1,9 +1,9 @@
 """Grants of this host's slots to the backend server beside it."""
 
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import rows
-from laburnumlatch import servermsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import servermsg
 
 RENEW_MS = 300
 TIMER = 'grants/renew'
--- a/laburnumlatch/handover.py
+++ b/laburnumlatch/slots/handover.py
@@ -1,10 +1,10 @@
 """Moves of slots between live hosts: releasing and taking a release."""
 
-from laburnumlatch import grants
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import logs
+from laburnumlatch.core import logs
+from laburnumlatch.slots import grants
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
 
 REPEAT_MS = 300
 TIMER = 'handover/repeat'
--- a/laburnumlatch/heads.py
+++ b/laburnumlatch/slots/heads.py
@@ -2,8 +2,8 @@
 
 from urllib import parse as urlparse
 
-from laburnumlatch import edges
-from laburnumlatch import headers
+from laburnumlatch.slots import edges
+from laburnumlatch.slots import headers
 
 MAX_HEADER_BYTES = 16384
 MAX_ID_LENGTH = 128
--- a/laburnumlatch/health.py
+++ b/laburnumlatch/slots/health.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from laburnumlatch import admission
-from laburnumlatch import choice
-from laburnumlatch import hotslots
-from laburnumlatch import requestmsg
-from laburnumlatch import rows
-from laburnumlatch import servermsg
+from laburnumlatch.slots import admission
+from laburnumlatch.slots import choice
+from laburnumlatch.slots import hotslots
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import servermsg
 
 TIMER = 'health/probe'
 PROBE_MS = 500
--- a/laburnumlatch/leasemsg.py
+++ b/laburnumlatch/slots/leasemsg.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from laburnumlatch import planrows
+from laburnumlatch.slots import planrows
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/leaserows.py
+++ b/laburnumlatch/slots/leaserows.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from laburnumlatch import planrows
+from laburnumlatch.slots import planrows
 
 
 @attrs.define
--- a/laburnumlatch/leases.py
+++ b/laburnumlatch/slots/leases.py
@@ -2,10 +2,10 @@
 
 import functools
 
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import logs
-from laburnumlatch import planrows
+from laburnumlatch.core import logs
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import planrows
 
 LEASE_MS = 1000
 RENEW_MS = 300
--- a/laburnumlatch/members.py
+++ b/laburnumlatch/slots/members.py
@@ -1,16 +1,16 @@
 """System: hosts of the system and the backend server beside this agent."""
 
-from laburnumlatch import departures
-from laburnumlatch import docmsg
-from laburnumlatch import documents
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import logs
-from laburnumlatch import proposals
-from laburnumlatch import rows
-from laburnumlatch import servermsg
-from laburnumlatch import wire
-from laburnumlatch import witnesses
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
+from laburnumlatch.slots import departures
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import proposals
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import witnesses
 
 TICKET = 'members/write'
 # Shorter silences are left to retries.
@@ -25,9 +25,9 @@
 def run(world, now):
     """Take in announcements and keep this host's member row current."""
     for kind in (
-        docmsg.StoreWritten,
-        docmsg.StoreRefused,
-        docmsg.StoreFailed,
+        storemsg.StoreWritten,
+        storemsg.StoreRefused,
+        storemsg.StoreFailed,
     ):
         if world.inbox.take_answers(kind, TICKET):
             # The document that comes back shows what was written.
@@ -157,7 +157,7 @@
     )
     known = world.documents.get((documents.MEMBER, own.host_id))
     world.outbox.post(
-        docmsg.StorePut(
+        storemsg.StorePut(
             TICKET,
             f'{documents.MEMBER}/{own.host_id}',
             body,
--- a/laburnumlatch/outcomes.py
+++ b/laburnumlatch/slots/outcomes.py
@@ -1,9 +1,9 @@
 """System: answers, broken exchanges and retries."""
 
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import retries
-from laburnumlatch import rows
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import retries
+from laburnumlatch.slots import rows
 
 LATENCY_WEIGHT = 0.2
 # Each asks the record at the owner again; three cover a lost connection and
--- a/laburnumlatch/ownership.py
+++ b/laburnumlatch/slots/ownership.py
@@ -2,30 +2,22 @@
 
 import attrs
 
-from laburnumlatch import claims
-from laburnumlatch import departures
-from laburnumlatch import fences
-from laburnumlatch import grants
-from laburnumlatch import handover
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import logs
-from laburnumlatch import plans
-from laburnumlatch import recovery
-from laburnumlatch import takeover
+from laburnumlatch.core import logs
+from laburnumlatch.slots import claims
+from laburnumlatch.slots import departures
+from laburnumlatch.slots import fences
+from laburnumlatch.slots import grants
+from laburnumlatch.slots import handover
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import recovery
+from laburnumlatch.slots import takeover
 
 _log = logs.logger('ownership')
 
 
-@attrs.define(frozen=True)
-class Holding:
-    """The host that serves a slot, as far as this agent knows."""
-
-    host_id: str
-    epoch: int
-
-
 def run(world, now):
     """Keep the slots held by this host current."""
     fences.take_votes(world)
@@ -50,21 +42,6 @@
     grants.run(world, now)
 
 
-def holding(world, service, slot):
-    """Return the `Holding` of a slot, or None if no plan names one."""
-    plan = world.plans.get(service)
-    if plan is None or slot >= len(plan.slots):
-        return None
-    own = world.slots.get((service, slot))
-    if own is not None and own.is_held and not world.standing.is_gone:
-        return Holding(world.settings.host_id, own.epoch)
-    planned = plan.slots[slot]
-    taken = world.taken.get((service, slot))
-    if taken is not None and taken.epoch > planned.epoch:
-        return Holding(taken.host_id, taken.epoch)
-    return _planned(world, plan, slot, own)
-
-
 def is_releasing(world, service, slot):
     """Tell whether no new work may start for a slot held by this host."""
     if world.standing.departure == leaserows.Departure.FINISHING:
@@ -87,24 +64,6 @@
     return row.epoch
 
 
-def _planned(world, plan, slot, own):
-    """Return the first host of the chain that is not known to be out."""
-    planned = plan.slots[slot]
-    chain = planned.chain
-    place = 0
-    while place + 1 < len(chain):
-        host = chain[place]
-        is_out = fences.is_clear(world, plan, slot, place + 1)
-        if host == world.incarnation:
-            is_out = world.standing.is_gone or (
-                own is not None and own.state == leaserows.SlotState.RELEASED
-            )
-        if not is_out:
-            break
-        place += 1
-    return Holding(chain[place].host_id, planned.epoch_at(place))
-
-
 def _take_announcements(world):
     for message in world.inbox.take(leasemsg.TakenOver):
         for number, epoch in message.slots:
--- a/laburnumlatch/peers.py
+++ b/laburnumlatch/slots/peers.py
@@ -5,11 +5,11 @@
 
 import pynng
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import frontends
-from laburnumlatch import logs
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.core import wire
+from laburnumlatch.slots import docmsg
 
 MAX_MESSAGE_BYTES = 1048576
 # Messages taken per turn of the loop, so that requests get theirs.
--- a/laburnumlatch/planning.py
+++ b/laburnumlatch/slots/planning.py
@@ -2,16 +2,16 @@
 
 import attrs
 
-from laburnumlatch import balance
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import fences
-from laburnumlatch import leaserows
-from laburnumlatch import logs
-from laburnumlatch import plans
-from laburnumlatch import proposals
-from laburnumlatch import rows
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
+from laburnumlatch.slots import balance
+from laburnumlatch.slots import fences
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import proposals
+from laburnumlatch.slots import rows
 
 ROLE = 'role'
 ROLE_TICKET = 'planning/role'
@@ -57,9 +57,9 @@
 
 def _read_role(world, now):
     for kind in (
-        docmsg.StoreWritten,
-        docmsg.StoreRefused,
-        docmsg.StoreFailed,
+        storemsg.StoreWritten,
+        storemsg.StoreRefused,
+        storemsg.StoreFailed,
     ):
         if world.inbox.take_answers(kind, ROLE_TICKET):
             proposals.read_back(world, now)
@@ -123,7 +123,7 @@
     role.term += 1
     body = wire.pack(leaserows.PlannerRole(world.incarnation, role.term))
     world.outbox.post(
-        docmsg.StorePut(
+        storemsg.StorePut(
             ROLE_TICKET,
             f'{ROLE}/{world.settings.region}',
             body,
--- a/laburnumlatch/plans.py
+++ b/laburnumlatch/slots/plans.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from laburnumlatch import candidates
-from laburnumlatch import hashing
-from laburnumlatch import planrows
+from laburnumlatch.core import hashing
+from laburnumlatch.slots import candidates
+from laburnumlatch.slots import planrows
 
 SUCCESSORS = 2
 WITNESSES = 3
--- a/laburnumlatch/proposals.py
+++ b/laburnumlatch/slots/proposals.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from laburnumlatch import docmsg
-from laburnumlatch import documents
-from laburnumlatch import leaserows
-from laburnumlatch import wire
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import leaserows
 
 TICKET = 'proposals/'
 # After this time without an answer the write is tried again; it may have
@@ -18,9 +18,9 @@
 def run(world, now):
     """Take in the answers to writes of plans, then read what is there."""
     for kind in (
-        docmsg.StoreWritten,
-        docmsg.StoreRefused,
-        docmsg.StoreFailed,
+        storemsg.StoreWritten,
+        storemsg.StoreRefused,
+        storemsg.StoreFailed,
     ):
         for answer in world.inbox.take_answers(kind, TICKET):
             proposal = _pop(world, answer.ticket)
@@ -68,7 +68,7 @@
     )
     world.proposals.put(plan.service, proposal)
     world.outbox.post(
-        docmsg.StorePut(
+        storemsg.StorePut(
             proposal.ticket,
             f'{documents.PLAN}/{plan.service}',
             proposal.body,
--- a/laburnumlatch/queues.py
+++ b/laburnumlatch/slots/queues.py
@@ -3,7 +3,7 @@
 Every step costs the same however many requests wait.
 """
 
-from laburnumlatch import rows
+from laburnumlatch.slots import rows
 
 
 def enter(world, request):
--- a/laburnumlatch/records.py
+++ b/laburnumlatch/slots/records.py
@@ -8,9 +8,9 @@
 
 import enum
 
-from laburnumlatch import ownership
-from laburnumlatch import requestmsg
-from laburnumlatch import rows
+from laburnumlatch.slots import holders
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import rows
 
 RETENTION_MS = 600_000
 # About 50 MB without answers, inside the 256 MB of an agent.
@@ -158,7 +158,7 @@
     if record.outcome == requestmsg.Outcome.NOT_RUN:
         return
     service = record.key[0]
-    held = ownership.holding(world, service, record.slot)
+    held = holders.holding(world, service, record.slot)
     epoch = max(record.epoch, held.epoch if held else 0)
     slot_key = (service, record.slot)
     known_epoch = world.dropped_epochs.get(slot_key) or 0
--- a/laburnumlatch/recovery.py
+++ b/laburnumlatch/slots/recovery.py
@@ -4,15 +4,15 @@
 
 import attrs
 
-from laburnumlatch import fences
-from laburnumlatch import grants
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import logs
-from laburnumlatch import planrows
-from laburnumlatch import proposals
-from laburnumlatch import rows
-from laburnumlatch import takeover
+from laburnumlatch.core import logs
+from laburnumlatch.slots import fences
+from laburnumlatch.slots import grants
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import proposals
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import takeover
 
 INTERVAL_MS = 500
 TIMER = 'recovery/look'
--- a/laburnumlatch/requests.py
+++ b/laburnumlatch/slots/requests.py
@@ -1,12 +1,12 @@
 """Steps in the life of a request row that several systems share."""
 
-from laburnumlatch import logs
-from laburnumlatch import metrics
-from laburnumlatch import queues
-from laburnumlatch import records
-from laburnumlatch import requestmsg
-from laburnumlatch import retries
-from laburnumlatch import rows
+from laburnumlatch.core import logs
+from laburnumlatch.core import metrics
+from laburnumlatch.slots import queues
+from laburnumlatch.slots import records
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import retries
+from laburnumlatch.slots import rows
 
 # Each may hold 128 KB of a body, so together at most 64 MB.
 MAX_PARKED = 512
--- a/laburnumlatch/retries.py
+++ b/laburnumlatch/slots/retries.py
@@ -1,6 +1,6 @@
 """Retry budget and backoff, so that retries do not add to an overload."""
 
-from laburnumlatch import rows
+from laburnumlatch.slots import rows
 
 MS_PER_S = 1000
 WINDOW_S = 10
--- a/laburnumlatch/routing.py
+++ b/laburnumlatch/slots/routing.py
@@ -1,14 +1,14 @@
 """System: which host each request goes to, and who owns a key."""
 
-from laburnumlatch import deadlines
-from laburnumlatch import hashing
-from laburnumlatch import logs
-from laburnumlatch import ownership
-from laburnumlatch import queues
-from laburnumlatch import records
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import rows
+from laburnumlatch.core import hashing
+from laburnumlatch.core import logs
+from laburnumlatch.slots import deadlines
+from laburnumlatch.slots import holders
+from laburnumlatch.slots import queues
+from laburnumlatch.slots import records
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import rows
 
 ID_BITS = 128
 
@@ -40,7 +40,7 @@
             asked.number, asked.service, asked.key, reason=reason
         )
     slot = hashing.slot_of(asked.key, service.slot_count)
-    held = ownership.holding(world, service.name, slot)
+    held = holders.holding(world, service.name, slot)
     host = world.hosts.get(held.host_id) if held else None
     if not service.divided_by_key or host is None:
         reason = requestmsg.Reason.NO_OWNER
@@ -229,7 +229,7 @@
 
 
 def _owner(world, request):
-    held = ownership.holding(world, request.service, request.slot)
+    held = holders.holding(world, request.service, request.slot)
     if held is None:
         return None
     request.epoch = held.epoch
--- a/laburnumlatch/rows.py
+++ b/laburnumlatch/slots/rows.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from laburnumlatch import requestmsg
+from laburnumlatch.slots import requestmsg
 
 
 class HostState(enum.StrEnum):
--- a/laburnumlatch/serverapi.py
+++ b/laburnumlatch/slots/serverapi.py
@@ -6,8 +6,8 @@
 
 from tornado import web
 
-from laburnumlatch import servermsg
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
+from laburnumlatch.slots import servermsg
 
 MAX_CONCURRENT = 10000
 STATUS_NO_CONTENT = 204
@@ -99,8 +99,8 @@
     for name, kind in _KINDS.items():
         if type(fields.get(name)) is not kind:
             raise ValueError(f'field {name!r}: expected {kind.__name__}')
-    if not settings.is_address(fields['address']):
-        raise ValueError(f'field "address": {settings.ADDRESS_EXPECTED}')
+    if not addresses.is_address(fields['address']):
+        raise ValueError(f'field "address": {addresses.ADDRESS_EXPECTED}')
     _check_limits(fields)
     return servermsg.ServerAnnounced(**fields)
 
--- a/laburnumlatch/servers.py
+++ b/laburnumlatch/slots/servers.py
@@ -7,9 +7,9 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
-from laburnumlatch import frontends
-from laburnumlatch import logs
-from laburnumlatch import servermsg
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.slots import servermsg
 
 # Well under the lease of 1 s, so that a renewal can be tried again in time.
 TIMEOUT_MS = 300
--- a/laburnumlatch/settings.py
+++ b/laburnumlatch/slots/settings.py
@@ -1,16 +1,14 @@
 """Settings of one agent, read from YAML and checked as a whole."""
 
-import ipaddress
 import pathlib
 
 import attrs
 
-from laburnumlatch import errors
-from laburnumlatch import findings
-from laburnumlatch import yamlnodes
+from laburnumlatch.core import addresses
+from laburnumlatch.core import errors
+from laburnumlatch.core import findings
+from laburnumlatch.operators import yamlnodes
 
-ADDRESS_EXPECTED = 'an address as ip:port, like 10.1.2.3:7000'
-MAX_PORT = 65535
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
@@ -54,7 +52,7 @@
         name: reader.take(name, str, f'the {name} as text')
         for name in ('host_id', 'region', 'domain')
     }
-    addresses = {
+    own_addresses = {
         name: _address(reader, name, found)
         for name in (
             'address',
@@ -69,20 +67,20 @@
     found.raise_if_any()
     return Settings(
         **names,
-        **addresses,
+        **own_addresses,
         admin_token=admin_token,
         log_level=log_level,
     )
 
 
 def _address(reader, name, found):
-    text = reader.take(name, str, ADDRESS_EXPECTED)
-    if text is None or is_address(text):
+    text = reader.take(name, str, addresses.ADDRESS_EXPECTED)
+    if text is None or addresses.is_address(text):
         return text
     found.add(
         reader.node(name).place,
         f'field {name!r} is {text!r}',
-        ADDRESS_EXPECTED,
+        addresses.ADDRESS_EXPECTED,
     )
     return None
 
@@ -97,19 +95,3 @@
             expected,
         )
     return level
-
-
-def is_address(text):
-    """Tell whether `text` is an IP number and a port."""
-    ip_text, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(ip_text.strip('[]'))
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
-
-
-def split_address(address):
-    """Return (ip, port) of an `ip:port` address."""
-    ip_text, _, port = address.rpartition(':')
-    return ip_text.strip('[]'), int(port)
--- a/laburnumlatch/spread.py
+++ b/laburnumlatch/slots/spread.py
@@ -6,13 +6,13 @@
 lost: the next exchange repeats what is still missing.
 """
 
-from laburnumlatch import digests
-from laburnumlatch import docmsg
-from laburnumlatch import docrows
-from laburnumlatch import documents
-from laburnumlatch import logs
-from laburnumlatch import rows
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
+from laburnumlatch.core import logs
+from laburnumlatch.slots import digests
+from laburnumlatch.slots import docmsg
+from laburnumlatch.slots import docrows
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import rows
 
 FANOUT = 3
 EXCHANGE_MS = 1000
@@ -70,7 +70,7 @@
 
 
 def _problem(message):
-    if not settings.is_address(message.sender):
+    if not addresses.is_address(message.sender):
         return f'sender {message.sender!r} is not an address'
     if isinstance(message, docmsg.BucketHashes):
         size = len(message.packed)
--- a/laburnumlatch/takeover.py
+++ b/laburnumlatch/slots/takeover.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from laburnumlatch import fences
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import leases
-from laburnumlatch import logs
-from laburnumlatch import plans
-from laburnumlatch import proposals
+from laburnumlatch.core import logs
+from laburnumlatch.slots import fences
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import proposals
 
 # An heir gets this long to write its claim before a successor does.
 HEIR_MS = 3000
--- a/laburnumlatch/ticks.py
+++ b/laburnumlatch/slots/ticks.py
@@ -1,19 +1,19 @@
 """The fixed order of the systems, and one tick over them."""
 
-from laburnumlatch import admission
-from laburnumlatch import deadlines
-from laburnumlatch import dispatch
-from laburnumlatch import documents
-from laburnumlatch import health
-from laburnumlatch import leases
-from laburnumlatch import members
-from laburnumlatch import metrics
-from laburnumlatch import outcomes
-from laburnumlatch import ownership
-from laburnumlatch import planning
-from laburnumlatch import routing
-from laburnumlatch import spread
-from laburnumlatch import witnesses
+from laburnumlatch.slots import admission
+from laburnumlatch.slots import counting
+from laburnumlatch.slots import deadlines
+from laburnumlatch.slots import dispatch
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import health
+from laburnumlatch.slots import leases
+from laburnumlatch.slots import members
+from laburnumlatch.slots import outcomes
+from laburnumlatch.slots import ownership
+from laburnumlatch.slots import planning
+from laburnumlatch.slots import routing
+from laburnumlatch.slots import spread
+from laburnumlatch.slots import witnesses
 
 # State about hosts and plans comes before requests, so that each request is
 # decided on the newest state; ends of requests come before starts, so that
@@ -26,7 +26,7 @@
     witnesses,
     leases,
     ownership,
-    metrics,
+    counting,
     health,
     deadlines,
     outcomes,
--- a/laburnumlatch/transfer.py
+++ b/laburnumlatch/slots/transfer.py
@@ -7,9 +7,9 @@
 from tornado import httpclient
 from tornado import httputil
 
-from laburnumlatch import calls
-from laburnumlatch import headers
-from laburnumlatch import requestmsg
+from laburnumlatch.slots import calls
+from laburnumlatch.slots import headers
+from laburnumlatch.slots import requestmsg
 
 CONNECT_TIMEOUT_MS = 1000
 # libcurl's own limit; the deadlines system cancels a transfer before it.
--- a/laburnumlatch/upstream.py
+++ b/laburnumlatch/slots/upstream.py
@@ -1,11 +1,11 @@
 """Front end towards backend servers and other agents, over HTTP."""
 
-from laburnumlatch import curlclient
-from laburnumlatch import frontends
-from laburnumlatch import headers
-from laburnumlatch import logs
-from laburnumlatch import requestmsg
-from laburnumlatch import transfer
+from laburnumlatch.core import curlclient
+from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
+from laburnumlatch.slots import headers
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import transfer
 
 MAX_TRANSFERS = 1000
 STATUS_CONFLICT = 409
--- a/laburnumlatch/witnesses.py
+++ b/laburnumlatch/slots/witnesses.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from laburnumlatch import leasemsg
-from laburnumlatch import leaserows
-from laburnumlatch import logs
-from laburnumlatch import planrows
-from laburnumlatch import plans
-from laburnumlatch import rows
+from laburnumlatch.core import logs
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
+from laburnumlatch.slots import rows
 
 # 5 % longer than the owner counts: clock rates differ by up to 4 % in all.
 PROMISE_MS = 1050
--- a/laburnumlatch/world.py
+++ b/laburnumlatch/slots/world.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from laburnumlatch import choice
-from laburnumlatch import docrows
-from laburnumlatch import leaserows
-from laburnumlatch import planrows
-from laburnumlatch import settings as settings_module
-from laburnumlatch import tables
-from laburnumlatch import ticking
+from laburnumlatch.core import tables
+from laburnumlatch.core import ticking
+from laburnumlatch.slots import choice
+from laburnumlatch.slots import docrows
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import settings as settings_module
 
 
 @attrs.define(kw_only=True)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from laburnumlatch import clock
+from laburnumlatch.core import clock
 from standins import grants
 
 DRAIN_GRACE_MS = 3000
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -13,10 +13,10 @@
 
 import attrs
 
-from laburnumlatch import errors
-from laburnumlatch import planrows
-from laburnumlatch import store
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import store
+from laburnumlatch.core import wire
+from laburnumlatch.slots import planrows
 from standins import processes
 from standins import summary
 from standins import traffic
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -14,7 +14,7 @@
 import attrs
 from tornado import web
 
-from laburnumlatch import settings
+from laburnumlatch.core import addresses
 
 CHUNK_BYTES = 65536
 HTTP_NO_CONTENT = 204
@@ -77,7 +77,7 @@
     proxy.accepted += 1
     try:
         far_reader, far_writer = await asyncio.open_connection(
-            *settings.split_address(proxy.target),
+            *addresses.split_address(proxy.target),
         )
     except OSError:
         writer.transport.abort()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -10,14 +10,15 @@
 
 import attrs
 
-from laburnumlatch import configuration
-from laburnumlatch import docmsg
-from laburnumlatch import leasemsg
-from laburnumlatch import ownership
-from laburnumlatch import servermsg
-from laburnumlatch import ticks
-from laburnumlatch import wire
-from laburnumlatch import world as world_module
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.slots import docmsg
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import ownership
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import ticks
+from laburnumlatch.slots import world as world_module
 from tests import worlds
 
 DOMAINS = ('grandi', 'breidholt', 'hafnarfj')
@@ -219,7 +220,7 @@
         outbox = agent.world.outbox
         for datagram in outbox.take(leasemsg.SendDatagram):
             self._send(host_id, datagram)
-        for kind in (docmsg.StoreScan, docmsg.StorePut):
+        for kind in (storemsg.StoreScan, storemsg.StorePut):
             for request in outbox.take(kind):
                 self._later(
                     self.rng.uniform(2, 10), self._store, agent, request
@@ -258,23 +259,23 @@
 
     def _store(self, agent, request):
         if self.store_down:
-            answer = docmsg.StoreFailed(request.ticket, 'down')
-        elif isinstance(request, docmsg.StoreScan):
-            answer = docmsg.StoreScanned(
+            answer = storemsg.StoreFailed(request.ticket, 'down')
+        elif isinstance(request, storemsg.StoreScan):
+            answer = storemsg.StoreScanned(
                 request.ticket,
                 tuple(
-                    docmsg.StoreRow(key, version, body)
+                    storemsg.StoreRow(key, version, body)
                     for key, (version, body) in self.store.items()
                     if version > request.after
                 ),
             )
         elif self._put(request.key, request.body, request.expected_version):
-            answer = docmsg.StoreWritten(request.ticket, self.sequence)
+            answer = storemsg.StoreWritten(request.ticket, self.sequence)
             if self.lose_answers:
                 self.lose_answers -= 1
-                answer = docmsg.StoreFailed(request.ticket, 'lost')
+                answer = storemsg.StoreFailed(request.ticket, 'lost')
         else:
-            answer = docmsg.StoreRefused(request.ticket)
+            answer = storemsg.StoreRefused(request.ticket)
         self._later(self.rng.uniform(2, 10), self._hand, agent, answer)
 
     def _put(self, key, body, expected):
--- a/tests/linefront.py
+++ b/tests/linefront.py
@@ -4,8 +4,8 @@
 answer is one line `<number> <outcome> <reason or status> <epoch>`.
 """
 
-from laburnumlatch import frontends
-from laburnumlatch import requestmsg
+from laburnumlatch.core import frontends
+from laburnumlatch.slots import requestmsg
 
 
 class LineFront(frontends.FrontEnd):
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -8,7 +8,7 @@
 import itertools
 import random
 
-from laburnumlatch import docmsg
+from laburnumlatch.core import storemsg
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
@@ -85,14 +85,14 @@
     def answer(self, host_id, message):
         """Return the answer to a call, or None while a watch waits."""
         if self.is_down or host_id in self.refuses:
-            return docmsg.StoreFailed(message.ticket, 'refused')
-        if isinstance(message, docmsg.StorePut):
+            return storemsg.StoreFailed(message.ticket, 'refused')
+        if isinstance(message, storemsg.StorePut):
             return self._put(message)
         after = getattr(message, 'after', 0)
         rows = self.newer(message.table, after)
-        if isinstance(message, docmsg.StoreWatch) and not rows:
+        if isinstance(message, storemsg.StoreWatch) and not rows:
             return None
-        return docmsg.StoreChanges(message.ticket, rows, self.version)
+        return storemsg.StoreChanges(message.ticket, rows, self.version)
 
     def newer(self, table, after):
         """Return rows of a table above a version, oldest first."""
@@ -109,13 +109,13 @@
             known = self.rows.get(key)
             known_version = known.version if known else 0
             if version != known_version:
-                return docmsg.StoreRefused(message.ticket)
+                return storemsg.StoreRefused(message.ticket)
         self.writes += 1
         self.version += 1
-        self.rows[message.key] = docmsg.StoreRow(
+        self.rows[message.key] = storemsg.StoreRow(
             message.key, self.version, message.body
         )
-        return docmsg.StoreWritten(message.ticket, self.version)
+        return storemsg.StoreWritten(message.ticket, self.version)
 
 
 class Backend:
@@ -361,9 +361,9 @@
     def _carry_out(self, host_id, world):
         outbox = world.outbox
         for kind in (
-            docmsg.StoreRead,
-            docmsg.StoreWatch,
-            docmsg.StorePut,
+            storemsg.StoreRead,
+            storemsg.StoreWatch,
+            storemsg.StorePut,
         ):
             for message in outbox.take(kind):
                 self.later(STORE_MS, self._ask_store, host_id, message)
@@ -388,7 +388,7 @@
                 read.ticket, (self.configuration,), 1
             )
             if host_id in self.store.refuses or self.store.is_down:
-                answer = docmsg.StoreFailed(read.ticket, 'refused')
+                answer = storemsg.StoreFailed(read.ticket, 'refused')
             self.later(STORE_MS, self.post, host_id, answer)
 
     def _ask_store(self, host_id, message):
--- a/tests/network.py
+++ b/tests/network.py
@@ -8,12 +8,12 @@
 
 import attrs
 
-from laburnumlatch import metrics
-from laburnumlatch import planrows
-from laburnumlatch import requestmsg
-from laburnumlatch import servermsg
-from laburnumlatch import ticks
-from laburnumlatch import workworlds
+from laburnumlatch.experiments import workworlds
+from laburnumlatch.slots import counting
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import ticks
 from tests import worlds
 
 HOSTS = ('bokun-1', 'bokun-2', 'bokun-3')
@@ -299,5 +299,5 @@
             self.epochs[attempt.request_id] = message.epoch
 
 
-_SYSTEMS = ticks.ORDER[ticks.ORDER.index(metrics) :]
+_SYSTEMS = ticks.ORDER[ticks.ORDER.index(counting) :]
 _REQUESTS = ((requestmsg.Forward, 'forward'), (requestmsg.Send, 'run'))
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -5,11 +5,11 @@
 
 from tornado import netutil
 
-from laburnumlatch import callers
-from laburnumlatch import calls
-from laburnumlatch import serverapi
-from laburnumlatch import ticks
-from laburnumlatch import upstream
+from laburnumlatch.slots import callers
+from laburnumlatch.slots import calls
+from laburnumlatch.slots import serverapi
+from laburnumlatch.slots import ticks
+from laburnumlatch.slots import upstream
 from tests import worlds
 
 
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from laburnumlatch import docmsg
-from laburnumlatch import errors
-from laburnumlatch import store
+from laburnumlatch.core import errors
+from laburnumlatch.core import store
+from laburnumlatch.core import storemsg
 
 
 class MemoryStore(store.Store):
@@ -45,7 +45,7 @@
                 raise errors.VersionConflictError(write.key)
         self._sequence += 1
         for write in writes:
-            self.rows[write.key] = docmsg.StoreRow(
+            self.rows[write.key] = storemsg.StoreRow(
                 write.key, self._sequence, write.body
             )
         if self.lose_answers:
--- a/tests/test_adminapi.py
+++ b/tests/test_adminapi.py
@@ -7,10 +7,10 @@
 from tornado import testing
 from tornado import web
 
-from laburnumlatch import adminapi
-from laburnumlatch import errors
-from laburnumlatch import planrows
-from laburnumlatch import report
+from laburnumlatch.core import errors
+from laburnumlatch.operators import report
+from laburnumlatch.slots import adminapi
+from laburnumlatch.slots import planrows
 from tests import stores
 from tests import test_configuration
 from tests import test_documents
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,15 +12,15 @@
 from hypothesis import strategies
 
 from laburnumlatch import cmdline
-from laburnumlatch import configuration
-from laburnumlatch import errors
-from laburnumlatch import hashing
-from laburnumlatch import merge
-from laburnumlatch import operatorfile
-from laburnumlatch import publish
-from laburnumlatch import rows
-from laburnumlatch import store
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import hashing
+from laburnumlatch.core import store
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.operators import merge
+from laburnumlatch.operators import operatorfile
+from laburnumlatch.operators import publish
+from laburnumlatch.slots import rows
 from tests import stores
 from tests import worlds
 
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 
-from laburnumlatch import datagrams
-from laburnumlatch import leasemsg
-from laburnumlatch import planrows
+from laburnumlatch.core import datagrams
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import planrows
 from tests import worlds
 
 VOTE_ACK = leasemsg.VoteAck(
@@ -21,9 +21,11 @@
     async def test_message_arrives_after_garbage(self):
         arrived = asyncio.Queue()
         address = f'127.0.0.1:{worlds.free_port()}'
-        receiver = datagrams.Datagrams(arrived.put_nowait, address)
+        receiver = datagrams.Datagrams(arrived.put_nowait, address, leasemsg)
         sender = datagrams.Datagrams(
-            arrived.put_nowait, f'127.0.0.1:{worlds.free_port()}'
+            arrived.put_nowait,
+            f'127.0.0.1:{worlds.free_port()}',
+            leasemsg,
         )
         await receiver.start()
         await sender.start()
@@ -38,7 +40,9 @@
 
     async def test_nobody_at_the_address_is_no_error(self):
         own = datagrams.Datagrams(
-            lambda _message: None, f'127.0.0.1:{worlds.free_port()}'
+            lambda _message: None,
+            f'127.0.0.1:{worlds.free_port()}',
+            leasemsg,
         )
         await own.start()
         nobody = f'127.0.0.1:{worlds.free_port()}'
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -10,16 +10,17 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from laburnumlatch import configuration
-from laburnumlatch import digests
-from laburnumlatch import docmsg
-from laburnumlatch import documents
-from laburnumlatch import peers
-from laburnumlatch import rows
-from laburnumlatch import spread
-from laburnumlatch import store
-from laburnumlatch import wire
-from laburnumlatch import world as world_module
+from laburnumlatch.core import store
+from laburnumlatch.core import storemsg
+from laburnumlatch.core import wire
+from laburnumlatch.operators import configuration
+from laburnumlatch.slots import digests
+from laburnumlatch.slots import docmsg
+from laburnumlatch.slots import documents
+from laburnumlatch.slots import peers
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import spread
+from laburnumlatch.slots import world as world_module
 from tests import stores
 from tests import test_configuration
 from tests import worlds
@@ -79,10 +80,10 @@
 
 def scanned(*offered):
     """Return the store's answer that holds these documents."""
-    return docmsg.StoreScanned(
+    return storemsg.StoreScanned(
         documents.POLL_TICKET,
         tuple(
-            docmsg.StoreRow(f'{doc.kind}/{doc.name}', doc.version, doc.body)
+            storemsg.StoreRow(f'{doc.kind}/{doc.name}', doc.version, doc.body)
             for doc in offered
         ),
     )
@@ -148,13 +149,13 @@
         run(world, worlds.START, offer)
         run(world, worlds.START, scanned(member('h3', 4)))
         run(world, worlds.START + documents.MAX_POLL_MS)
-        (scan,) = world.outbox.take(docmsg.StoreScan)
+        (scan,) = world.outbox.take(storemsg.StoreScan)
         assert scan.after == 4
 
     def test_answers_of_other_systems_stay(self):
         world = create('h1')
-        run(world, worlds.START, docmsg.StoreFailed('members/write', ''))
-        assert world.inbox.take(docmsg.StoreFailed)
+        run(world, worlds.START, storemsg.StoreFailed('members/write', ''))
+        assert world.inbox.take(storemsg.StoreFailed)
 
 
 class TestInForce:
@@ -218,10 +219,10 @@
     def test_outage_slows_reads_down_and_the_end_speeds_them_up(self):
         world = create('h1')
         now = worlds.START
-        run(world, now, docmsg.StoreFailed(documents.POLL_TICKET, 'down'))
+        run(world, now, storemsg.StoreFailed(documents.POLL_TICKET, 'down'))
         for _ in range(9):
             now = world.store_reader.next_read
-            failed = docmsg.StoreFailed(documents.POLL_TICKET, 'down')
+            failed = storemsg.StoreFailed(documents.POLL_TICKET, 'down')
             run(world, now, failed)
         wait = world.store_reader.next_read - now
         assert wait == documents.MAX_POLL_MS
@@ -239,7 +240,7 @@
         while now < worlds.START + 1_000_000:
             now = world.store_reader.next_read
             run(world, now)
-            for _ in world.outbox.take(docmsg.StoreScan):
+            for _ in world.outbox.take(storemsg.StoreScan):
                 reads += 1
                 run(world, now, scanned())
         assert 40 < reads / 1000 * 1900 < 65
@@ -402,11 +403,11 @@
             body = peers.MESSAGES.encode(tell.message)
             to_name = NAMES[int(tell.address.split(':')[1]) - 100]
             self.flying.append((to_name, peers.MESSAGES.decode(body)))
-        for scan in world.outbox.take(docmsg.StoreScan):
-            answer = docmsg.StoreFailed(scan.ticket, 'away')
+        for scan in world.outbox.take(storemsg.StoreScan):
+            answer = storemsg.StoreFailed(scan.ticket, 'away')
             if name not in self.cut_off:
                 found = tuple(self.store.newer_than(scan.after))
-                answer = docmsg.StoreScanned(scan.ticket, found)
+                answer = storemsg.StoreScanned(scan.ticket, found)
             run(world, self.now, answer)
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -5,10 +5,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from laburnumlatch import outcomes
-from laburnumlatch import records
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
+from laburnumlatch.slots import outcomes
+from laburnumlatch.slots import records
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
 from tests import network
 
 REASONS = (requestmsg.Reason.SHED, requestmsg.Reason.NOT_OWNER)
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from laburnumlatch import grants
-from laburnumlatch import leaserows
-from laburnumlatch import servermsg
+from laburnumlatch.slots import grants
+from laburnumlatch.slots import leaserows
+from laburnumlatch.slots import servermsg
 from tests import worlds
 
 END = worlds.START + 1000
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from laburnumlatch import callers
-from laburnumlatch import calls
-from laburnumlatch import headers
-from laburnumlatch import requestmsg
-from laburnumlatch import rows
+from laburnumlatch.slots import callers
+from laburnumlatch.slots import calls
+from laburnumlatch.slots import headers
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import rows
 from tests import rigs
 
 UPLOAD_BYTES = 3_000_000
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,14 +5,14 @@
 import pytest
 from hypothesis import strategies
 
-from laburnumlatch import admission
-from laburnumlatch import choice
-from laburnumlatch import hotslots
-from laburnumlatch import planrows
-from laburnumlatch import requestmsg
-from laburnumlatch import rows
-from laburnumlatch import servermsg
-from laburnumlatch import workreport
+from laburnumlatch.experiments import workreport
+from laburnumlatch.slots import admission
+from laburnumlatch.slots import choice
+from laburnumlatch.slots import hotslots
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import servermsg
 from tests import test_requests
 from tests import worlds
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from laburnumlatch import measures
-from laburnumlatch import metrics
-from laburnumlatch import planrows
-from laburnumlatch import requestmsg
+from laburnumlatch.core import metrics
+from laburnumlatch.experiments import measures
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import requestmsg
 from tests import test_requests
 from tests import worlds
 
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from laburnumlatch import clock
+from laburnumlatch.core import clock
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
 from laburnumlatch.mesh import ranges
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,12 +5,12 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from laburnumlatch import errors
-from laburnumlatch import leasemsg
-from laburnumlatch import ownership
-from laburnumlatch import planrows
-from laburnumlatch import servermsg
-from laburnumlatch import wire
+from laburnumlatch.core import errors
+from laburnumlatch.core import wire
+from laburnumlatch.slots import holders
+from laburnumlatch.slots import leasemsg
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import servermsg
 from tests import cluster
 
 SEEDS = (1, 2, 3)
@@ -82,7 +82,7 @@
         for agent in made.agents.values():
             if agent.up:
                 for slot, host_id in made.served().items():
-                    held = ownership.holding(agent.world, 'bokun', slot)
+                    held = holders.holding(agent.world, 'bokun', slot)
                     assert held.host_id == host_id
 
     def test_unfenced_service_waits_out_its_longest_write(self):
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -3,9 +3,9 @@
 import attrs
 import pytest
 
-from laburnumlatch import planrows
-from laburnumlatch import plans
-from laburnumlatch import wire
+from laburnumlatch.core import wire
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import plans
 from tests import cluster
 from tests import worlds
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from laburnumlatch import errors
+from laburnumlatch.core import errors
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from laburnumlatch import planrows
-from laburnumlatch import records
-from laburnumlatch import requestmsg
-from laburnumlatch import workworlds
+from laburnumlatch.experiments import workworlds
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import records
+from laburnumlatch.slots import requestmsg
 from tests import linefront
 from tests import worlds
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from laburnumlatch import requestmsg
+from laburnumlatch.slots import requestmsg
 from tests import worlds
 
 OTHER = 'bokun-2'
--- a/tests/test_reroute.py
+++ b/tests/test_reroute.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from laburnumlatch import requestmsg
-from laburnumlatch import requests
-from laburnumlatch import retries
+from laburnumlatch.slots import requestmsg
+from laburnumlatch.slots import requests
+from laburnumlatch.slots import retries
 from tests import worlds
 
 NOW = worlds.START
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -9,10 +9,10 @@
 from tornado import httpserver
 from tornado import web
 
-from laburnumlatch import clock
-from laburnumlatch import serverapi
-from laburnumlatch import servermsg
-from laburnumlatch import servers
+from laburnumlatch.core import clock
+from laburnumlatch.slots import serverapi
+from laburnumlatch.slots import servermsg
+from laburnumlatch.slots import servers
 from standins import backend
 from standins import backendapi
 from standins import processes
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,7 +9,7 @@
 import pytest
 from tornado import netutil
 
-from laburnumlatch import clock
+from laburnumlatch.core import clock
 from standins import backend
 from standins import backendapi
 from standins import costs
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from laburnumlatch import rows
+from laburnumlatch.slots import rows
 from tests import rigs
 
 CALLS = 24
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from laburnumlatch import clock
-from laburnumlatch import progress
-from laburnumlatch import workreport
+from laburnumlatch.core import clock
+from laburnumlatch.core import progress
+from laburnumlatch.experiments import workreport
 
 MODES = (
     {'load': 2},
--- a/tests/trials.py
+++ b/tests/trials.py
@@ -11,8 +11,8 @@
 import json
 import signal
 
-from laburnumlatch import leaserows
-from laburnumlatch import wire
+from laburnumlatch.core import wire
+from laburnumlatch.slots import leaserows
 from standins import processes
 from tests import lab as labs
 from tests import test_takeover_processes as takeover
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -2,12 +2,12 @@
 
 import socket
 
-from laburnumlatch import planrows
-from laburnumlatch import rows
-from laburnumlatch import settings
-from laburnumlatch import ticks
-from laburnumlatch import workworlds
-from laburnumlatch import world as world_module
+from laburnumlatch.experiments import workworlds
+from laburnumlatch.slots import planrows
+from laburnumlatch.slots import rows
+from laburnumlatch.slots import settings
+from laburnumlatch.slots import ticks
+from laburnumlatch.slots import world as world_module
 
 SEED = 20261204
 START = 1_000_000
