--- a/laburnumlatch/cmdline.py
+++ b/laburnumlatch/cmdline.py
@@ -19,6 +19,7 @@
 from laburnumlatch.operators import inspection
 from laburnumlatch.operators import publish
 from laburnumlatch.operators import report
+from laburnumlatch.operators import tracing
 from laburnumlatch.slots import agent
 from laburnumlatch.slots import settings
 
@@ -169,6 +170,26 @@
         )
 
 
+@cappa.command(name='trace', help='Show the way of a request from logs.')
+@attrs.define
+class TraceCommand:
+    """Read the log files of agents."""
+
+    request_id: typing.Annotated[str, cappa.Arg(help='ID of the request')]
+    paths: typing.Annotated[list[str], cappa.Arg(help='log files')]
+
+    def __call__(self):
+        """Print each decision about the request in order of time."""
+        shown = progress.Progress(clock.MonotonicClock(), sys.stderr, 'trace')
+        try:
+            found = tracing.trace(self.request_id, self.paths, shown.report)
+        except OSError as error:
+            raise errors.InvalidInputError(str(error)) from error
+        sys.stdout.write(tracing.as_text(found))
+        if not found.entries:
+            raise cappa.Exit(code=EXIT_BAD_INPUT)
+
+
 @cappa.command(name='workload', help='Measure the policies on a workload.')
 @attrs.define
 class WorkloadCommand:
@@ -223,7 +244,9 @@
             prefer=self.prefer,
             **(workreport.NAIVE if self.naive else {}),
         )
-        shown = progress.Progress(clock.MonotonicClock(), sys.stderr)
+        shown = progress.Progress(
+            clock.MonotonicClock(), sys.stderr, 'workload'
+        )
         figures = workreport.measure(chosen, shown.report)
         show = workreport.as_json if self.json else workreport.as_text
         sys.stdout.write(f'{show(figures)}\n')
@@ -251,6 +274,7 @@
         | PublishCommand
         | StatusCommand
         | ExplainCommand
+        | TraceCommand
         | WorkloadCommand
         | BenchCommand
     ]
--- a/laburnumlatch/core/datagrams.py
+++ b/laburnumlatch/core/datagrams.py
@@ -56,12 +56,12 @@
             return
         body = self._codec.encode(message.message)
         if len(body) > MAX_BYTES:
-            _log.error('{} bytes are too long to send', len(body))
+            _log.error('datagram-too-long', size=len(body))
             return
         try:
             self._socket.sendto(body, addresses.split_address(message.address))
         except OSError as error:
-            _log.debug('send to {} failed: {}', message.address, error)
+            _log.debug('send-failed', address=message.address, detail=error)
 
     def _receive(self):
         for _ in range(MAX_BATCH):
@@ -71,7 +71,7 @@
                 return
             except OSError as error:
                 # An earlier datagram found nobody at its address.
-                _log.debug('receive failed: {}', error)
+                _log.debug('receive-failed', detail=error)
                 return
             self._decode(body, sender[0])
 
@@ -79,6 +79,6 @@
         try:
             message = self._codec.decode(body)
         except errors.WireError as error:
-            _log.error('refused datagram from {}: {}', sender_ip, error)
+            _log.error('datagram-refused', sender=sender_ip, detail=error)
         else:
             self._post(message)
--- a/laburnumlatch/core/progress.py
+++ b/laburnumlatch/core/progress.py
@@ -6,10 +6,11 @@
 class Progress:
     """Writes the share that is done; quiet for work under two seconds."""
 
-    def __init__(self, ticker, stream):
-        """Take a `clock.Clock` and a text stream."""
+    def __init__(self, ticker, stream, work):
+        """Take a `clock.Clock`, a text stream and the name of the work."""
         self._clock = ticker
         self._stream = stream
+        self._work = work
         self._due = ticker.now() + INTERVAL_MS
 
     def report(self, share):
@@ -17,5 +18,5 @@
         now = self._clock.now()
         if now >= self._due:
             self._due = now + INTERVAL_MS
-            self._stream.write(f'workload: {share:.0%} done\n')
+            self._stream.write(f'{self._work}: {share:.0%} done\n')
             self._stream.flush()
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -23,7 +23,9 @@
     for changed in world.inbox.take(messages.SettingsChanged):
         _take_settings(world, changed.settings)
     for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
-        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        _log.warning(
+            'store-call-failed', call=failed.ticket, detail=failed.detail
+        )
         world.is_watching_configuration = False
         world.timers.put(READ_TICKET, now + RETRY_MS)
     for read in world.inbox.take(messages.ConfigurationRead):
@@ -41,22 +43,23 @@
     kept = attrs.evolve(world.settings, bounds=settings.bounds)
     if kept == world.settings == settings:
         return
-    _log.info('settings bounds={}', settings.bounds)
+    _log.info('settings-changed', bounds=settings.bounds)
     if kept != settings:
-        _log.warning('settings other than bounds need a restart')
+        _log.warning('settings-need-restart')
     world.settings = kept
 
 
 def _take(world, read):
+    world.configuration_heard = world.now
     known = world.configuration
     for configuration in read.configurations:
         if known is None or configuration.version > known.version:
             known = configuration
     if known is not None and known is not world.configuration:
         _log.info(
-            'configuration version={} routes={}',
-            known.version,
-            len(known.routes),
+            'configuration-in-force',
+            version=known.version,
+            routes=len(known.routes),
         )
         world.configuration = known
         world.outbox.post(messages.LimitsChanged(known.limits))
--- /dev/null
+++ b/laburnumlatch/mesh/counting.py
@@ -0,0 +1,61 @@
+"""System: counters of what happens in this agent, by name and labels.
+
+`exposition` tells what each name means.
+"""
+
+from laburnumlatch.core import histograms
+from laburnumlatch.core import storemsg
+from laburnumlatch.mesh import rows
+
+_STORE_OUTCOMES = (
+    (storemsg.StoreChanges, 'read'),
+    (storemsg.StoreWritten, 'written'),
+    (storemsg.StoreRefused, 'conflict'),
+    (storemsg.StoreFailed, 'failed'),
+)
+
+
+def run(world, now):
+    """Count the answers of the store before other systems take them."""
+    for kind, outcome in _STORE_OUTCOMES:
+        for answer in world.inbox.peek(kind):
+            part = answer.ticket.partition('/')[0]
+            count(world, 'store_calls', part=part, outcome=outcome)
+
+
+def count(world, name, amount=1, **labels):
+    """Add `amount` to the counter with this name and these labels."""
+    key = (name, tuple(labels.items()))
+    counter = world.counters.get(key)
+    if counter is None:
+        counter = world.counters.put(key, rows.Counter(name, labels))
+    counter.total += amount
+
+
+def count_end(world, request, outcome, reason):
+    """Count the end of a request; `reason` is a status if it was answered."""
+    count(
+        world,
+        'requests_ended',
+        service=request.service,
+        kind=request.kind,
+        origin='agent' if request.sender else 'caller',
+        outcome=outcome,
+        reason=reason,
+    )
+
+
+def observe(world, request, latency_ms):
+    """Record how long a caller waited for its answer."""
+    key = (request.service, request.kind)
+    row = world.latencies.get(key)
+    if row is None:
+        row = world.latencies.put(
+            key,
+            rows.Latency(
+                request.service, request.kind, histograms.new_histogram()
+            ),
+        )
+    row.recorded.record_value(
+        min(max(1, latency_ms), histograms.MAX_LATENCY_MS),
+    )
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -1,8 +1,8 @@
 """System: starts queued requests at the local backend server."""
 
 from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 
 # A backend server that has failed gets one request in this time.
@@ -29,9 +29,10 @@
     request.exchange += 1
     request.started = now
     backend.running += 1
-    requests.decide(
+    decisions.note(
+        world,
         request,
-        'start',
+        'started',
         server=backend.life.server_id,
         key=request.head.key,
         waited_ms=now - request.arrived,
--- a/laburnumlatch/mesh/expiry.py
+++ b/laburnumlatch/mesh/expiry.py
@@ -1,5 +1,6 @@
 """System: ends requests whose time is over, and those of callers who left."""
 
+from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
@@ -53,7 +54,9 @@
     if request.state == rows.RequestState.RUNNING and not request.is_safe:
         # Breaking it off would not tell whether it has taken effect.
         return
-    requests.decide(request, 'caller left', state=request.state)
+    decisions.conclude(
+        world, request, 'caller-left', is_good=True, state=request.state
+    )
     cancel(world, request)
     requests.drop(world, request)
 
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -54,7 +54,7 @@
             for message in self._messages():
                 self.received(message)
         except (errors.WireError, zlib.error, KeyError) as error:
-            _log.error('connection closed: {}', error)
+            _log.error('connection-refused', detail=error)
             self.transport.abort()
 
     def send(self, message):
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -5,8 +5,11 @@
 backend server's token goes to the new owner.
 """
 
+import types
+
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import handovers
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
@@ -24,6 +27,12 @@
 # Work starts only if the grant lasts this long: it would end in an error.
 MIN_LEFT_MS = 100
 
+_GRANT_OUTCOMES = types.MappingProxyType({
+    True: 'accepted',
+    False: 'refused',
+    None: 'unanswered',
+})
+
 _log = logs.logger('holdings')
 
 
@@ -260,16 +269,20 @@
     if holding is None:
         return
     holding.ticket = 0
+    counting.count(
+        world, 'grants', outcome=_GRANT_OUTCOMES[granted.is_accepted]
+    )
     if granted.is_accepted:
         if holding.state == leaserows.HoldingState.GRANTING:
             _log.info(
-                'granted start={} end={} fence={} handover={}',
-                holding.start,
-                holding.end,
-                holding.fence,
-                bool(holding.handover),
+                'granted',
+                start=holding.start,
+                end=holding.end,
+                fence=holding.fence,
+                handover=bool(holding.handover),
             )
             holding.state = leaserows.HoldingState.HELD
+            counting.count(world, 'keys_received', holding.size)
         holding.handover = ''
         holding.granted_until = holding.sent + holding.hold_ms
         return
@@ -279,11 +292,11 @@
             holding.hold_ms * leaserows.LATEST_END_RATE,
         )
     _log.warning(
-        'grant not accepted start={} end={} fence={} answered={}',
-        holding.start,
-        holding.end,
-        holding.fence,
-        granted.is_accepted is not None,
+        'grant-not-accepted',
+        start=holding.start,
+        end=holding.end,
+        fence=holding.fence,
+        answered=granted.is_accepted is not None,
     )
 
 
@@ -320,12 +333,13 @@
             holding.retry_at = end
         return
     world.holdings.pop((holding.start, holding.fence))
+    counting.count(world, 'keys_released', holding.size)
     _log.info(
-        'released start={} end={} fence={} handover={}',
-        holding.start,
-        holding.end,
-        holding.fence,
-        bool(holding.token),
+        'released',
+        start=holding.start,
+        end=holding.end,
+        fence=holding.fence,
+        handover=bool(holding.token),
     )
     plan = world.plan_of(holding.service)
     for piece in plan.pieces:
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -181,6 +181,11 @@
     retry_at: int = 0
     is_stale: bool = False
 
+    @property
+    def size(self):
+        """How many keys the range has."""
+        return self.end - self.start + 1
+
     def covers(self, key):
         """Tell whether `key` lies in the range."""
         return self.start <= key <= self.end
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -1,13 +1,13 @@
 """System: leases of owners, asked for and given by datagrams."""
 
 from laburnumlatch.core import logs
-from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh import worktimes
 
 RENEW_MS = 400
 # Renewals that are not answered by then are forgotten.
@@ -70,7 +70,7 @@
         plan_versions=_plan_versions(world),
         busy_ms=report.busy_ms,
         done=report.done,
-        wait_ms=admission.expected_wait_ms(world, now),
+        wait_ms=worktimes.expected_wait_ms(world),
         grants_end_ms=max(0, holdings.grants_end(world, now) - now),
         cells=tuple(cells),
         taken=tuple(
@@ -110,7 +110,7 @@
         return
     if renew.term > own_role.term:
         # Another planner has taken the role; the row will say who.
-        _log.warning('term {} is newer than {}', renew.term, own_role.term)
+        _log.warning('term-outdated', newer=renew.term, own=own_role.term)
         own_role.renewed = 0
         return
     valid_ms = _valid_ms(world, renew, now)
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -17,7 +17,7 @@
     """Serve on after the signal to stop, and say when all is done."""
     is_told = bool(world.inbox.take(messages.Stopping))
     if is_told and world.stopping_since is None:
-        _log.info('stopping requests={}', len(world.requests))
+        _log.info('stopping', requests=len(world.requests))
         world.stopping_since = now
     since = world.stopping_since
     if since is None:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -5,6 +5,7 @@
 from laburnumlatch.core import storemsg
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
@@ -85,10 +86,10 @@
         return
     world.plans.put(plan.service, leaserows.PlanRow(plan, row_version))
     _log.info(
-        'plan service={} version={} pieces={}',
-        plan.service,
-        plan.version,
-        len(plan.pieces),
+        'plan-known',
+        service=plan.service,
+        version=plan.version,
+        pieces=len(plan.pieces),
     )
 
 
@@ -98,7 +99,7 @@
         try:
             _take_row(world, row)
         except errors.WireError as error:
-            _log.error('row {} ignored: {}', row.key, error)
+            _log.error('row-ignored', row=row.key, detail=error)
 
 
 def _rescan(world):
@@ -118,7 +119,7 @@
 
 
 def _failed(world, failed, now):
-    _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+    _log.warning('store-call-failed', call=failed.ticket, detail=failed.detail)
     if failed.ticket == WATCH_TICKET:
         # The history may be gone or changes lost, so all is read again.
         world.is_watching = False
@@ -140,10 +141,10 @@
             storemsg.StoreWatch(WATCH_TICKET, TABLE, read.version, WATCH_MS),
         )
     if not world.has_members:
-        _log.info('members known version={}', read.version)
+        _log.info('members-known', version=read.version)
     world.has_members = True
     take_rows(world, read.rows)
-    world.members_version = max(world.members_version, read.version)
+    world.members_heard = world.now
 
 
 def _take_row(world, row):
@@ -162,10 +163,10 @@
     elif known.version < version:
         if known.record != record:
             _log.info(
-                'host={} state={} life={}',
-                record.host_id,
-                record.state,
-                record.life,
+                'host-changed',
+                host=record.host_id,
+                state=record.state,
+                life=record.life,
             )
         if known.record.life != record.life:
             known.avoid_until = 0
@@ -176,6 +177,8 @@
 def _announcements(world, now):
     for told in world.inbox.take(backendmsg.BackendAnnounced):
         is_accepted = _announced(world, told, now)
+        outcome = 'accepted' if is_accepted else 'refused'
+        counting.count(world, 'announcements', outcome=outcome)
         world.outbox.post(
             backendmsg.AnnouncementAnswered(told.ask, is_accepted),
         )
@@ -196,10 +199,10 @@
     is_own = told.service == own.service and told.address == own.backend_address
     if not is_own:
         _log.warning(
-            'announcement refused server={} service={} address={}',
-            told.life.server_id,
-            told.service,
-            told.address,
+            'announcement-refused',
+            server=told.life.server_id,
+            service=told.service,
+            address=told.address,
         )
         return False
     backend = world.backend
@@ -226,11 +229,12 @@
         slots=told.slots,
         sequence=told.sequence,
         joined=now,
-        warm_at=now + told.cold_ms,
         running=running,
         heard=now,
     )
-    _log.info('backend server={} born={}', told.life.server_id, told.life.born)
+    _log.info(
+        'backend-announced', server=told.life.server_id, born=told.life.born
+    )
     if told.is_draining:
         _begin_closing(world, now)
 
@@ -239,7 +243,7 @@
     if world.backend.closing_at is None:
         drain_ms = world.settings.bounds.drain_ms
         world.backend.closing_at = now + drain_ms - DRAIN_MARGIN_MS
-        _log.info('backend server={} leaves', world.backend.life.server_id)
+        _log.info('backend-leaving', server=world.backend.life.server_id)
 
 
 def _close(world, now):
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -1,12 +1,14 @@
 """System: answers and failures of exchanges, and repeats of safe requests."""
 
 from laburnumlatch.core import logs
-from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import worktimes
 
 # So many exchanges in a row without any answer mean that the backend server
 # is down; it is tried again after `TRIAL_MS`.
@@ -17,7 +19,8 @@
 UNREACHABLE_RETRY_MS = 600
 # Less time than this is not worth another try.
 MIN_REPEAT_MS = 120
-MEAN_WEIGHT = 0.1
+# The weight of one answer in the moving share of failures of a host.
+FAILED_WEIGHT = 0.1
 
 _log = logs.logger('outcomes')
 
@@ -43,8 +46,14 @@
 
 
 def _ended(world, request, ended, now):
+    is_failure = ended.answer.status >= requests.STATUS_SERVER_ERROR
+    host = world.hosts.get(request.host_id)
+    if host is not None:
+        host.failed_rate += FAILED_WEIGHT * (is_failure - host.failed_rate)
     if request.state == rows.RequestState.RUNNING:
-        admission.learn(world, request, now)
+        if not is_failure:
+            # A failure is often quick, and would make the server look fast.
+            worktimes.learn(world, request, now)
         world.backend.failures = 0
         world.backend.failed_since = None
     else:
@@ -54,14 +63,22 @@
 
 def _failed(world, request, failed, now):
     is_local = request.state == rows.RequestState.RUNNING
-    requests.decide(
+    counting.count(
+        world,
+        'exchanges_failed',
+        target='backend' if is_local else 'agent',
+        phase=failed.phase,
+        reason=failed.reason,
+    )
+    decisions.note(
+        world,
         request,
-        'exchange failed',
+        'exchange-failed',
         host=request.host_id,
         phase=failed.phase,
         reason=failed.reason,
-        verdict=failed.verdict or '-',
-        detail=failed.detail or '-',
+        verdict=failed.verdict,
+        detail=failed.detail or None,
     )
     if _has_reached_server(failed):
         request.sends += 1
@@ -106,9 +123,7 @@
     if backend.failures >= DOWN_FAILURES and backend.failed_since is None:
         backend.failed_since = now
         backend.resume_at = now + TRIAL_MS
-        _log.warning(
-            'backend server={} does not answer', backend.life.server_id
-        )
+        _log.warning('backend-down', server=backend.life.server_id)
 
 
 def _retry_backend(world, now):
@@ -121,7 +136,7 @@
     elif backend.heard > backend.failed_since:
         backend.failed_since = None
         backend.failures = DOWN_FAILURES - 1
-        _log.info('backend server={} is tried again', backend.life.server_id)
+        _log.info('backend-retried', server=backend.life.server_id)
 
 
 def _note_host(world, request, failed, now):
@@ -188,6 +203,8 @@
         and now + MIN_REPEAT_MS < request.deadline
     )
     if is_allowed and retrybudget.take(world, request.service, now):
+        counting.count(world, 'requests_repeated', service=request.service)
+        decisions.note(world, request, 'repeated', tried=len(request.tried))
         placement.place(world, request, now)
         return
     requests.end(world, request, verdict, failed.reason)
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -123,7 +123,7 @@
             message.number, (None, 0, 0)
         )
         if inbound is None or inbound.transport.is_closing():
-            _log.info('reply number={} has no connection', message.number)
+            _log.info('reply-dropped', number=message.number)
             return
         inbound.open.pop((number, exchange), None)
         if isinstance(message, messages.ReplyAnswer):
@@ -214,7 +214,7 @@
             return
         silent_ms = self._link.now() - max(self._heard, 0)
         if silent_ms >= SILENT_MS:
-            _log.warning('connection to {} is silent', self._host_id)
+            _log.warning('peer-silent', host=self._host_id)
             self.transport.abort()
         elif silent_ms >= PING_MS and self._pinged < self._heard + PING_MS:
             self._pinged = self._link.now()
@@ -261,7 +261,9 @@
         try:
             await asyncio.wait_for(connecting, CONNECT_TIMEOUT_MS / MS_PER_S)
         except (OSError, TimeoutError) as error:
-            _log.warning('no connection to {}: {!r}', self._host_id, error)
+            _log.warning(
+                'peer-unreachable', host=self._host_id, detail=repr(error)
+            )
             self._link.lost(self._host_id, self)
             # Frames without an answer are repeated by who sends them.
             self._untold.clear()
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -1,7 +1,9 @@
 """System: takes requests in and chooses the host that serves each."""
 
-from laburnumlatch.core import metrics
+from laburnumlatch.core import logs
 from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
@@ -9,6 +11,7 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import worktimes
 
 # For callers that do not say how long they wait.
 DEFAULT_TIME_MS = 30_000
@@ -19,6 +22,10 @@
 OTHER_DOMAIN_MS = 20
 OTHER_DOMAIN_MS_PER_KB = 20
 BYTES_PER_KB = 1000
+# A host whose every answer is a failure is as good as one with this wait.
+FAILED_MS = 1000
+
+_log = logs.logger('requests')
 
 
 def run(world, now):
@@ -56,7 +63,7 @@
 
 
 def _take_arrived(world, arrived, now):
-    metrics.count(world, 'arrived')
+    counting.count(world, 'requests_received')
     configuration = world.configuration
     if configuration is None:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
@@ -75,12 +82,33 @@
         return
     request = _row(world, arrived, route, now)
     retrybudget.count_request(world, request.service, now)
+    decisions.note(
+        world,
+        request,
+        'received',
+        service=request.service,
+        route=route.name,
+        configuration=configuration.version,
+        kind=route.kind,
+        priority=route.priority,
+        left_ms=request.deadline - now,
+    )
     _keep(world, request)
     place(world, request, now)
 
 
 def _refuse(world, arrived, verdict, reason):
-    metrics.count(world, f'{verdict} {reason}')
+    counting.count(
+        world, 'requests_refused_unplaced', outcome=verdict, reason=reason
+    )
+    _log.notice(
+        verdict,
+        request=arrived.head.request_id,
+        reason=reason,
+        host_name=arrived.head.host,
+        configuration=world.configuration_version,
+        retry_after_ms=NOT_READY_RETRY_MS,
+    )
     world.outbox.post(
         messages.Refuse(
             arrived.number,
@@ -168,6 +196,16 @@
         route=forward.route,
         is_nested=forward.is_nested,
     )
+    decisions.note(
+        world,
+        request,
+        'taken-over',
+        sender=forwarded.sender,
+        service=request.service,
+        route=request.route,
+        plan=forward.plan_version or None,
+        left_ms=forward.time_left_ms,
+    )
     _keep(world, request)
     if forward.service != world.settings.service:
         requests.refuse(world, request, messages.Reason.NOT_OWNER)
@@ -238,11 +276,12 @@
 def _wait_ms(world, host, now):
     """Return how long a request would wait at a host, as far as known here."""
     if host.host_id == world.host_id:
-        return admission.expected_wait_ms(world, now)
+        return worktimes.expected_wait_ms(world)
     reported = max(0, host.wait_ms - (now - host.reported))
     slots = max(1, host.record.slots)
     beyond = max(0, host.in_flight + 1 - slots)
-    return max(reported, beyond * admission.DEFAULT_WORK_MS / slots)
+    waiting_ms = max(reported, beyond * worktimes.DEFAULT_WORK_MS / slots)
+    return waiting_ms + host.failed_rate * FAILED_MS
 
 
 def _forward(world, request, host, now):
@@ -251,15 +290,17 @@
     request.exchange += 1
     request.started = now
     host.in_flight += 1
-    requests.decide(
+    counting.count(world, 'requests_forwarded', service=request.service)
+    decisions.note(
+        world,
         request,
-        'forward',
+        'forwarded',
         host=host.host_id,
         key=request.head.key,
         body_bytes=len(request.body),
         plan=request.plan_version,
         wait_ms=int(host.wait_ms),
-        report_age_ms=now - host.reported if host.reported else -1,
+        report_age_ms=now - host.reported if host.reported else None,
         left_ms=request.deadline - now,
     )
     world.outbox.post(
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -63,11 +63,13 @@
             members.take_plan(world, write.plan, written.version)
             _tell_all(world, write.plan, written.version)
     for refused in world.inbox.take_answers(storemsg.StoreRefused, TICKET):
-        _log.info('plan refused ticket={}', refused.ticket)
+        _log.info('plan-refused', ticket=refused.ticket)
         world.plan_writes.pop(refused.ticket)
         world.role.has_plans = False
     for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
-        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        _log.warning(
+            'store-call-failed', call=failed.ticket, detail=failed.detail
+        )
         write = world.plan_writes.get(failed.ticket)
         if write is not None:
             write.failed = now
@@ -223,7 +225,7 @@
                 for piece in pieces
             )
         if found:
-            _log.info('balance moves={} use={}', len(found), self._use)
+            _log.info('balanced', moves=len(found), use=self._use)
         return pieces
 
     def _next_fence(self):
@@ -261,12 +263,12 @@
         capacity = sum(one.capacity for one in self._candidates)
         self._use[target.host_id] += share * capacity / target.capacity
         _log.info(
-            'piece start={} end={} from={} to={} former={}',
-            piece.start,
-            piece.end,
-            piece.host_id,
-            target.host_id,
-            former,
+            'piece-given',
+            start=piece.start,
+            end=piece.end,
+            owner=piece.host_id,
+            next_owner=target.host_id,
+            former=former,
         )
         return attrs.evolve(
             piece,
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -1,10 +1,10 @@
 """Steps in the life of a request row that several systems share."""
 
-from laburnumlatch.core import logs
-from laburnumlatch.core import metrics
-from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import worktimes
 
 MIN_RETRY_AFTER_MS = 50
 # Callers wait at most this part of the time they have left.
@@ -12,21 +12,8 @@
 # A request of a divided service waits this long for its owner to be known.
 PARK_MS = 25
 MAX_PARKS = 12
-
-_log = logs.logger('requests')
-
-
-def decide(request, outcome, **inputs):
-    """Log one decision about a request, with what decided it."""
-    told = ' '.join(f'{name}={value}' for name, value in inputs.items())
-    _log.info(
-        'request={} service={} priority={} {} {}',
-        request.request_id,
-        request.service,
-        request.priority,
-        outcome,
-        told,
-    )
+STATUS_SERVER_ERROR = 500
+ANSWERED = 'answered'
 
 
 def refuse(world, request, reason, retry_after_ms=0):
@@ -48,12 +35,15 @@
 def end(world, request, verdict, reason, retry_after_ms=0):
     """Tell the caller or the forwarding agent; drop the row."""
     drop(world, request)
-    metrics.count(world, f'{verdict} {reason}')
-    decide(
+    counting.count_end(world, request, verdict, reason)
+    decisions.conclude(
+        world,
         request,
         verdict,
+        is_good=False,
         reason=reason,
-        host=request.host_id or '-',
+        service=request.service,
+        host=request.host_id or None,
         retry_after_ms=retry_after_ms,
         age_ms=world.now - request.arrived,
         left_ms=request.deadline - world.now,
@@ -67,7 +57,7 @@
                 verdict,
                 reason,
                 retry_after_ms,
-                admission.expected_wait_ms(world, world.now),
+                worktimes.expected_wait_ms(world),
             )
         )
         return
@@ -79,24 +69,30 @@
 def deliver(world, request, answer):
     """Pass the answer on to whoever asked; drop the row."""
     drop(world, request)
-    metrics.count(world, 'answered')
+    counting.count_end(world, request, ANSWERED, answer.status)
+    age_ms = world.now - request.arrived
+    is_in_time = age_ms <= request.target_ms
+    decisions.conclude(
+        world,
+        request,
+        ANSWERED,
+        is_good=is_in_time and answer.status < STATUS_SERVER_ERROR,
+        status=answer.status,
+        service=request.service,
+        host=request.host_id or None,
+        plan=request.plan_version or None,
+        age_ms=age_ms,
+        target_ms=request.target_ms,
+    )
     if request.is_detached:
         return
     if request.sender:
-        wait_ms = admission.expected_wait_ms(world, world.now)
+        wait_ms = worktimes.expected_wait_ms(world)
         world.outbox.post(
             messages.ReplyAnswer(request.number, answer, wait_ms),
         )
         return
-    metrics.observe(world, request.service, world.now - request.arrived)
-    decide(
-        request,
-        'answered',
-        status=answer.status,
-        host=request.host_id or '-',
-        age_ms=world.now - request.arrived,
-        target_ms=request.target_ms,
-    )
+    counting.observe(world, request, age_ms)
     world.outbox.post(messages.Deliver(request.number, answer))
 
 
@@ -129,6 +125,7 @@
         refuse(world, request, reason, PARK_MS * MAX_PARKS)
         return
     request.waits += 1
+    decisions.note(world, request, 'parked', reason=reason, waits=request.waits)
     world.parked.put(request.number, request)
     world.placements.push(due, request.number)
     world.wake_at(due)
--- a/laburnumlatch/mesh/retrybudget.py
+++ b/laburnumlatch/mesh/retrybudget.py
@@ -22,20 +22,36 @@
     repeats: int = 0
 
 
+@attrs.define(frozen=True)
+class Budget:
+    """Repeats that this agent has sent, and how many it may send."""
+
+    spent: int
+    allowed: float
+
+
 def count_request(world, service, now):
     """Count a caller's request for a service."""
     _second(world, service, now).requests += 1
 
 
-def take(world, service, now):
-    """Spend one repeat; return False if the budget has none left."""
+def state(world, service, now):
+    """Return this agent's `Budget` of a service in the present window."""
     window = _window(world, service, now)
     requests = sum(second.requests for second in window.values())
-    repeats = sum(second.repeats for second in window.values())
     bounds = world.settings.bounds
     hosts = max(1, len(members.live_hosts(world)))
     allowed = bounds.retry_ratio * requests + bounds.retry_extra / hosts
-    if repeats + 1 > USED_RATE * allowed:
+    return Budget(
+        spent=sum(second.repeats for second in window.values()),
+        allowed=USED_RATE * allowed,
+    )
+
+
+def take(world, service, now):
+    """Spend one repeat; return False if the budget has none left."""
+    budget = state(world, service, now)
+    if budget.spent + 1 > budget.allowed:
         return False
     _second(world, service, now).repeats += 1
     return True
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -80,7 +80,7 @@
     role = world.role
     if term <= role.term or holder == world.host_id:
         return False
-    _log.info('planner={} term={} was={}', holder, term, role.holder)
+    _log.info('planner-followed', planner=holder, term=term, former=role.holder)
     if role.is_held:
         _step_down(world)
     role.holder = holder
@@ -101,7 +101,9 @@
         world.role.pending = ''
         _ask(world, now)
     for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
-        _log.warning('store call={} failed: {}', failed.ticket, failed.detail)
+        _log.warning(
+            'store-call-failed', call=failed.ticket, detail=failed.detail
+        )
         world.role.pending = ''
         world.role.has_store = False
 
@@ -115,7 +117,7 @@
         try:
             record = wire.unpack(row.body, leaserows.RoleRecord)
         except errors.WireError as error:
-            _log.error('row {} ignored: {}', row.key, error)
+            _log.error('row-ignored', row=row.key, detail=error)
             continue
         _see(world, record, row.version, now)
     if role.row_version is None:
@@ -129,7 +131,7 @@
         world.host_id,
         role.term,
     ):
-        _log.warning('planner role lost to {}', record.holder)
+        _log.warning('planner-role-lost', planner=record.holder)
         _step_down(world)
     if role.row_version != version:
         role.row_version = version
@@ -189,7 +191,7 @@
     world.plan_writes.clear()
     world.lessees.clear()
     world.loads.clear()
-    _log.info('planner role taken term={}', role.term)
+    _log.info('planner-role-taken', term=role.term)
     told = leasemsg.PlannerIs(role.holder, role.address, role.term)
     for host in members.live_hosts(world):
         if host.host_id != world.host_id:
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -3,6 +3,7 @@
 import enum
 
 import attrs
+from hdrh import histogram
 
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
@@ -48,8 +49,8 @@
 
     `in_flight` counts this agent's own requests there; `wait_ms` is how long
     a new request would wait, as last reported at `reported` and grown by own
-    requests since. `mean_ms` is a moving average of whole exchanges. Until
-    `avoid_until` the host is used only if no other is left.
+    requests since. `failed_rate` is the moving share of answers that told of
+    a failure. Until `avoid_until` the host is used only if no other is left.
     """
 
     record: HostRecord
@@ -57,7 +58,7 @@
     in_flight: int = 0
     wait_ms: float = 0
     reported: int = 0
-    mean_ms: float = 0
+    failed_rate: float = 0
     avoid_until: int = 0
     failures: int = 0
 
@@ -81,7 +82,6 @@
     slots: int
     sequence: int
     joined: int
-    warm_at: int = 0
     running: int = 0
     closing_at: int | None = None
     failed_since: int | None = None
@@ -90,6 +90,24 @@
     heard: int = 0
 
 
+@attrs.define
+class Counter:
+    """How often something happened since the agent started."""
+
+    name: str
+    labels: dict
+    total: int = 0
+
+
+@attrs.define
+class Latency:
+    """Time until callers had their answers, in ms, by service and kind."""
+
+    service: str
+    kind: routes.Kind
+    recorded: histogram.HdrHistogram
+
+
 @attrs.define
 class Request:
     """One request in this agent, from arrival to its end.
@@ -100,6 +118,8 @@
     counts exchanges in which a backend server may have got the request;
     `may_have_run` tells that one of them may have run it. `is_nested` tells
     that a request which runs at a backend server waits for this one.
+    `decisions` are those not yet written to the log; from
+    `is_logged_whole` on each is written when it is made.
     """
 
     number: int
@@ -127,6 +147,8 @@
     may_have_run: bool = False
     plan_version: int = 0
     is_nested: bool = False
+    decisions: list = attrs.Factory(list)
+    is_logged_whole: bool = False
 
     @property
     def is_safe(self):
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -2,6 +2,7 @@
 
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import configuring
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import holdings
@@ -13,10 +14,12 @@
 from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import role
 
-# What is believed about hosts and keys comes before requests, so that each
+# The store's answers are counted before other systems take them. What is
+# believed about hosts and keys comes before requests, so that each
 # request is decided on the newest state; ends of requests come before starts,
 # so that a free slot of the backend server is used in the same tick.
 ORDER = (
+    counting,
     configuring,
     members,
     role,
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -10,6 +10,7 @@
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings as settings_module
+from laburnumlatch.mesh import waiting
 
 # Work that starts later than this before the end of the grace time might be
 # cut off by it.
@@ -23,6 +24,7 @@
     settings: settings_module.Settings
     rng: random.Random
     started: int
+    wait_policy: waiting.WaitPolicy = attrs.Factory(waiting.TargetWaitPolicy)
     configuration: routes.Configuration | None = None
     backend: rows.Backend | None = None
     hosts: tables.Table = attrs.Factory(tables.Table)
@@ -50,7 +52,8 @@
     has_plans: bool = False
     is_watching: bool = False
     is_watching_configuration: bool = False
-    members_version: int = 0
+    members_heard: int = 0
+    configuration_heard: int = 0
     own_row_version: int = 0
     stopping_since: int | None = None
     holdings_basis: tuple = ()
--- a/laburnumlatch/platform/__main__.py
+++ b/laburnumlatch/platform/__main__.py
@@ -18,8 +18,9 @@
     except errors.InvalidInputError as error:
         sys.stderr.write(f'settings: {error}\n')
         return EXIT_BAD_SETTINGS
-    logs.set_up(settings.log_level, sys.stdout)
-    asyncio.run(runner.serve(settings))
+    handler = logs.set_up(settings.log_level)
+    asyncio.run(runner.serve(settings, handler))
+    handler.close()
     return 0
 
 
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -138,7 +138,9 @@
         self._client.fetch_impl(request, done.set_result)
         response = await done
         if response.code == FAILED:
-            _log.warning('call={} failed: {}', path, response.error)
+            _log.warning(
+                'backend-call-failed', call=path, detail=response.error
+            )
         return response
 
 
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -84,7 +84,7 @@
             polls += 1
             await asyncio.sleep(STOP_POLL_S)
         if self._open:
-            _log.error('{} requests end without an answer', len(self._open))
+            _log.error('requests-cut-off', requests=len(self._open))
         await self._server.close_all_connections()
 
     def start_request(self, server_conn, request_conn):
@@ -236,7 +236,7 @@
             written.add_done_callback(_note_error)
             self._connection.finish()
         except _WRITE_ERRORS as error:
-            _log.info('answer not written: {!r}', error)
+            _log.info('answer-not-written', detail=repr(error))
 
     def _give_back(self):
         self._front.hold(-self._held)
@@ -246,7 +246,7 @@
 def _note_error(written):
     error = None if written.cancelled() else written.exception()
     if error is not None:
-        _log.info('answer not written: {!r}', error)
+        _log.info('answer-not-written', detail=repr(error))
 
 
 def _key(text):
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -39,4 +39,4 @@
         try:
             yield configrows.decode(row.body)
         except errors.InvalidInputError as error:
-            _log.error('row {} ignored: {}', row.key, error)
+            _log.error('row-ignored', row=row.key, detail=error)
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -11,8 +11,8 @@
 from laburnumlatch.core import errors
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
-from laburnumlatch.core import metrics
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import exposition
 from laburnumlatch.platform import announcements
 
 STATUS_OK = 200
@@ -40,14 +40,15 @@
 class MetricsHandler(web.RequestHandler):
     """`GET /metrics`: counters and latencies as text."""
 
-    def initialize(self, world):
-        """Ask `world`."""
+    def initialize(self, world, count_left_out):
+        """Ask `world`; `count_left_out` counts log lines left out."""
         self._world = world
+        self._count_left_out = count_left_out
 
     def get(self):
         """Write what has been counted."""
-        self.set_header('Content-Type', 'text/plain')
-        self.finish(metrics.as_text(self._world))
+        self.set_header('Content-Type', exposition.CONTENT_TYPE)
+        self.finish(exposition.as_text(self._world, self._count_left_out))
 
 
 class RpcHandler(web.RequestHandler):
@@ -64,7 +65,12 @@
         try:
             told = announcements.decode(call, server_id, self.request.body)
         except errors.InvalidInputError as error:
-            _log.warning('call={} of={} refused: {}', call, server_id, error)
+            _log.warning(
+                'announcement-unreadable',
+                call=call,
+                server=server_id,
+                detail=error,
+            )
             self.set_status(STATUS_BAD)
             return
         is_accepted = await self._front.ask(told)
@@ -80,10 +86,11 @@
 
     kinds = (backendmsg.AnnouncementAnswered,)
 
-    def __init__(self, post, world):
-        """Answer from `world`."""
+    def __init__(self, post, world, count_left_out):
+        """Answer from `world`; `count_left_out` counts log lines left out."""
         super().__init__(post)
         self._world = world
+        self._count_left_out = count_left_out
         self._asked = {}
         self._last = 0
         self._servers = []
@@ -97,8 +104,9 @@
             own.control_address, [(r'/rpc', RpcHandler, {'front': self})]
         )
         if own.metrics_address:
+            ask_all = {**ask, 'count_left_out': self._count_left_out}
             self._listen(
-                own.metrics_address, [(r'/metrics', MetricsHandler, ask)]
+                own.metrics_address, [(r'/metrics', MetricsHandler, ask_all)]
             )
 
     async def stop(self):
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -32,7 +32,7 @@
 class Runner:
     """One agent: its world, its front ends and the loop that joins them."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, log_handler):
         """Build the agent inside a running loop."""
         time_source = clock.BoottimeClock()
         self._world = worlds.create(
@@ -45,7 +45,9 @@
         self._callers = callerfront.CallerFront(post, settings, numbers)
         self._front_ends = [
             self._callers,
-            controlfront.ControlFront(post, self._world),
+            controlfront.ControlFront(
+                post, self._world, lambda: log_handler.left_out
+            ),
             datagrams.Datagrams(post, settings.peer_address, leasemsg),
             peerlink.PeerLink(
                 post,
@@ -72,11 +74,11 @@
         for front_end in self._front_ends:
             await front_end.start()
         own = self._world.settings
-        _log.info('start host={} service={}', own.host_id, own.service)
+        _log.info('started', host=own.host_id, service=own.service)
         self._engine.wake()
         self._check_file()
         await self._stopped.wait()
-        _log.info('stop host={}', own.host_id)
+        _log.info('stopped', host=own.host_id)
         for front_end in self._front_ends:
             await front_end.stop()
 
@@ -88,7 +90,7 @@
         try:
             settings = bootfile.load(bootfile.path())
         except errors.InvalidInputError as error:
-            _log.error('settings kept, the file is not valid: {}', error)
+            _log.error('settings-refused', detail=error)
         else:
             self._engine.post(messages.SettingsChanged(settings))
 
@@ -104,6 +106,9 @@
         self._stopped.set()
 
 
-async def serve(settings):
-    """Run an agent until it is told to stop."""
-    await Runner(settings).run()
+async def serve(settings, log_handler):
+    """Run an agent until it is told to stop.
+
+    `log_handler` is the `logs.StructuredHandler` of this process.
+    """
+    await Runner(settings, log_handler).run()
--- a/laburnumlatch/slots/adminapi.py
+++ b/laburnumlatch/slots/adminapi.py
@@ -11,11 +11,11 @@
 from laburnumlatch.core import errors
 from laburnumlatch.core import findings
 from laburnumlatch.core import logs
-from laburnumlatch.core import metrics
 from laburnumlatch.core import store as store_module
 from laburnumlatch.operators import publish
 from laburnumlatch.operators import report
 from laburnumlatch.slots import holders
+from laburnumlatch.slots import metrics
 from laburnumlatch.slots import world as world_module
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -153,10 +153,10 @@
         entries = publish.parse_all(texts, findings.Findings())
         published = await publish.publish(self._admin.store, entries)
         _log.info(
-            'published {} files from {} as version {}',
-            len(texts),
-            self.request.remote_ip,
-            published.version,
+            'published',
+            files=len(texts),
+            sender=self.request.remote_ip,
+            version=published.version,
         )
         return published
 
--- a/laburnumlatch/slots/agent.py
+++ b/laburnumlatch/slots/agent.py
@@ -55,7 +55,7 @@
         for front_end in self._front_ends:
             await front_end.start()
         own = self._world.settings
-        _log.info('host {} serves at {}', own.host_id, own.address)
+        _log.info('started', host=own.host_id, address=own.address)
         self._engine.wake()
         await stopping.wait()
         await self._leave()
@@ -72,7 +72,7 @@
         try:
             await asyncio.wait_for(self._left.wait(), LEAVE_S)
         except TimeoutError:
-            _log.warning('did not leave within {} s', LEAVE_S)
+            _log.warning('leave-timed-out', limit_s=LEAVE_S)
 
     def _build_front_ends(self, settings):
         open_calls = calls.Calls()
--- a/laburnumlatch/slots/claims.py
+++ b/laburnumlatch/slots/claims.py
@@ -57,11 +57,11 @@
             planrows.WitnessSet(own, witnesses, plan.version + 1),
         )
     _log.info(
-        'service={} owner={} incarnation={} claims slots of {}',
-        plan.service,
-        own.host_id,
-        own.number,
-        old.number,
+        'slots-claimed',
+        service=plan.service,
+        owner=own.host_id,
+        incarnation=own.number,
+        former=old.number,
     )
     proposals.propose(
         world,
--- a/laburnumlatch/slots/counting.py
+++ b/laburnumlatch/slots/counting.py
@@ -1,6 +1,6 @@
 """System: counts requests and answers before others take them."""
 
-from laburnumlatch.core import metrics
+from laburnumlatch.slots import metrics
 from laburnumlatch.slots import requestmsg
 
 
--- a/laburnumlatch/slots/departures.py
+++ b/laburnumlatch/slots/departures.py
@@ -24,7 +24,7 @@
     if standing.departure == leaserows.Departure.NO:
         standing.departure = leaserows.Departure.FINISHING
         standing.departure_since = now
-        _log.info('host {} leaves: {}', world.settings.host_id, reason)
+        _log.info('leaving', host=world.settings.host_id, reason=reason)
 
 
 def is_over(world):
@@ -47,7 +47,7 @@
     witness_set = None if plan is None else plan.witness_set(world.incarnation)
     if witness_set is None or _has_surrendered(world, witness_set, now):
         standing.departure = leaserows.Departure.DONE
-        _log.info('host {} has left its slots', world.settings.host_id)
+        _log.info('left', host=world.settings.host_id)
     elif world.due(TIMER, REPEAT_MS, now):
         _ask(world, plan, witness_set)
 
--- a/laburnumlatch/slots/documents.py
+++ b/laburnumlatch/slots/documents.py
@@ -82,11 +82,11 @@
     digests.replace(world.spreading, known, document)
     world.spreading.changed.append(document)
     _log.info(
-        'accepted {} {} version {} from {}',
-        document.kind,
-        document.name,
-        document.version,
-        source,
+        'document-accepted',
+        kind=document.kind,
+        name=document.name,
+        version=document.version,
+        source=source,
     )
     return True
 
@@ -100,7 +100,7 @@
 def _take_in(world, scanned, now):
     reader = world.store_reader
     if reader.failures:
-        _log.info('the store answers again')
+        _log.info('store-regained')
     reader.failures = 0
     for row in scanned.rows:
         kind, _, name = row.key.partition('/')
@@ -113,7 +113,7 @@
 def _back_off(world, failed, now):
     reader = world.store_reader
     if not reader.failures:
-        _log.warning('the store does not answer: {}', failed.detail)
+        _log.warning('store-lost', detail=failed.detail)
     reader.failures = min(reader.failures + 1, MAX_DOUBLINGS)
     _plan_next_read(world, now)
 
@@ -150,12 +150,12 @@
         world.spreading.refused = tables.Table()
     world.spreading.refused.put(document.key, content)
     _log.error(
-        'refused {} {} version {} from {}: {}',
-        document.kind,
-        document.name,
-        document.version,
-        source,
-        problem,
+        'document-refused',
+        kind=document.kind,
+        name=document.name,
+        version=document.version,
+        source=source,
+        problem=problem,
     )
 
 
@@ -183,7 +183,7 @@
         _check_service(service)
         world.services.put(name, service)
     if not services and world.services.pop(name) is not None:
-        _log.info('service {} is no longer configured', name)
+        _log.info('service-withdrawn', service=name)
     configured = world.configured
     known = configured.counts.get(name) or 0
     configured.marks ^= configuration.mark(stated)
--- a/laburnumlatch/slots/handover.py
+++ b/laburnumlatch/slots/handover.py
@@ -49,11 +49,12 @@
             row.since = slot.since
             row.acked.clear()
             _log.info(
-                'service={} slot={} owner={} epoch={} reason=release',
-                plan.service,
-                number,
-                slot.owner.host_id,
-                slot.epoch,
+                'slot-given',
+                service=plan.service,
+                slot=number,
+                owner=slot.owner.host_id,
+                epoch=slot.epoch,
+                reason='release',
             )
             _send(world, row, slot)
     if world.due(TIMER, REPEAT_MS, now):
--- a/laburnumlatch/slots/leases.py
+++ b/laburnumlatch/slots/leases.py
@@ -166,10 +166,10 @@
     )
     world.wake_at(0)
     _log.warning(
-        'incarnation {} ends, {} begins: {}',
-        old.number,
-        world.incarnation.number,
-        reason,
+        'incarnation-ended',
+        incarnation=old.number,
+        next=world.incarnation.number,
+        reason=reason,
     )
 
 
--- a/laburnumlatch/slots/members.py
+++ b/laburnumlatch/slots/members.py
@@ -76,10 +76,10 @@
         ),
     )
     _log.info(
-        'backend server {} of {} announced at {}',
-        announced.server_id,
-        announced.service,
-        announced.address,
+        'backend-announced',
+        server=announced.server_id,
+        service=announced.service,
+        address=announced.address,
     )
 
 
--- a/laburnumlatch/slots/ownership.py
+++ b/laburnumlatch/slots/ownership.py
@@ -155,10 +155,10 @@
         row.serve_from += takeover.wait_ms(world, row.service)
         world.wake_at(row.serve_from)
     _log.info(
-        'service={} slot={} owner={} epoch={} reason={}',
-        row.service,
-        row.number,
-        world.settings.host_id,
-        row.epoch,
-        'takeover' if is_takeover else 'plan',
+        'slot-owner',
+        service=row.service,
+        slot=row.number,
+        owner=world.settings.host_id,
+        epoch=row.epoch,
+        reason='takeover' if is_takeover else 'plan',
     )
--- a/laburnumlatch/slots/peers.py
+++ b/laburnumlatch/slots/peers.py
@@ -68,14 +68,14 @@
         """Queue one message for a neighbour, or drop it if it can't go."""
         body = MESSAGES.encode(message.message)
         if len(body) > MAX_MESSAGE_BYTES:
-            _log.error('a message of {} bytes is too large', len(body))
+            _log.error('message-too-large', size=len(body))
             return
         try:
             self._sender(message.address).send(body, block=False)
         except pynng.TryAgain:
-            _log.debug('{} does not take messages', message.address)
+            _log.debug('peer-busy', address=message.address)
         except pynng.NNGException as error:
-            _log.warning('cannot send to {}: {}', message.address, error)
+            _log.warning('send-failed', address=message.address, detail=error)
 
     def _sender(self, address):
         """Return the socket to an address, connected in the background."""
@@ -100,11 +100,11 @@
             except pynng.TryAgain:
                 return
             except pynng.NNGException as error:
-                _log.error('cannot receive: {}', error)
+                _log.error('receive-failed', detail=error)
                 return
             except RuntimeError as error:
                 # pynng raises this for a message without any bytes.
-                _log.warning('refused an empty message: {}', error)
+                _log.warning('message-refused', detail=error)
             else:
                 self._decode(body)
 
@@ -112,6 +112,6 @@
         try:
             message = MESSAGES.decode(body)
         except errors.WireError as error:
-            _log.warning('refused a message of {} bytes: {}', len(body), error)
+            _log.warning('message-refused', size=len(body), detail=error)
         else:
             self._post(message)
--- a/laburnumlatch/slots/planning.py
+++ b/laburnumlatch/slots/planning.py
@@ -71,7 +71,7 @@
     try:
         row = wire.unpack(document.body, leaserows.PlannerRole)
     except errors.WireError as error:
-        _log.error('planner role: {}', error)
+        _log.error('planner-row-refused', detail=error)
         world.role.planner = None
     else:
         world.role.planner = row.planner
@@ -167,7 +167,7 @@
         world.wake_at(begin)
         return
     first = plans.initial(service, hosts, region)
-    _log.info('service={} first plan for {} hosts', service.name, len(hosts))
+    _log.info('first-plan', service=service.name, hosts=len(hosts))
     proposals.propose(world, first, now)
 
 
@@ -191,9 +191,10 @@
     ):
         if old.owner != new.owner:
             _log.info(
-                'service={} slot={} owner={} epoch={} reason=balance',
-                plan.service,
-                number,
-                new.owner.host_id,
-                new.epoch,
+                'slot-moved',
+                service=plan.service,
+                slot=number,
+                owner=new.owner.host_id,
+                epoch=new.epoch,
+                reason='balance',
             )
--- a/laburnumlatch/slots/recovery.py
+++ b/laburnumlatch/slots/recovery.py
@@ -223,11 +223,12 @@
             owner, (), epoch, plan.version + 1
         )
         _log.info(
-            'service={} slot={} owner={} epoch={} reason=recovery',
-            plan.service,
-            row.number,
-            owner.host_id,
-            epoch,
+            'slot-owner',
+            service=plan.service,
+            slot=row.number,
+            owner=owner.host_id,
+            epoch=epoch,
+            reason='recovery',
         )
     if slots != list(plan.slots):
         proposals.propose(world, attrs.evolve(plan, slots=tuple(slots)), now)
--- a/laburnumlatch/slots/requests.py
+++ b/laburnumlatch/slots/requests.py
@@ -1,7 +1,7 @@
 """Steps in the life of a request row that several systems share."""
 
 from laburnumlatch.core import logs
-from laburnumlatch.core import metrics
+from laburnumlatch.slots import metrics
 from laburnumlatch.slots import queues
 from laburnumlatch.slots import records
 from laburnumlatch.slots import requestmsg
--- a/laburnumlatch/slots/servers.py
+++ b/laburnumlatch/slots/servers.py
@@ -100,9 +100,7 @@
                 )
         if refused:
             _log.warning(
-                'backend server {} did not accept grants of slots {}',
-                server_id,
-                sorted(refused),
+                'grants-refused', server=server_id, slots=sorted(refused)
             )
 
     async def _probe(self, message):
--- a/laburnumlatch/slots/spread.py
+++ b/laburnumlatch/slots/spread.py
@@ -63,7 +63,7 @@
     for message in world.inbox.take(kind):
         problem = _problem(message)
         if problem:
-            _log.warning('refused {}: {}', kind.__name__, problem)
+            _log.warning('message-refused', kind=kind.__name__, problem=problem)
         else:
             valid.append(message)
     return valid
--- a/laburnumlatch/slots/takeover.py
+++ b/laburnumlatch/slots/takeover.py
@@ -156,11 +156,12 @@
         )
     taken = plans.take_over(slot, world.incarnation, row, plan.version + 1)
     _log.info(
-        'service={} slot={} owner={} epoch={} reason=record',
-        plan.service,
-        number,
-        world.settings.host_id,
-        taken.epoch,
+        'slot-owner',
+        service=plan.service,
+        slot=number,
+        owner=world.settings.host_id,
+        epoch=taken.epoch,
+        reason='record',
     )
     return taken
 
--- a/laburnumlatch/slots/upstream.py
+++ b/laburnumlatch/slots/upstream.py
@@ -173,11 +173,11 @@
     def _report(self, message):
         if isinstance(message, requestmsg.ExchangeBroke):
             _log.warning(
-                'exchange {} of call {} broke, {}: {}',
-                message.exchange,
-                message.number,
-                message.phase,
-                message.detail,
+                'exchange-broke',
+                exchange=message.exchange,
+                call=message.number,
+                phase=message.phase,
+                detail=message.detail,
             )
         if not isinstance(message, requestmsg.AnswerBegan):
             self._transfers.pop(message.number, None)
--- a/laburnumlatch/slots/witnesses.py
+++ b/laburnumlatch/slots/witnesses.py
@@ -105,7 +105,7 @@
     is_own = message.witness in {own, own.number}
     if is_own and _is_witness(world, message.service, host):
         return True
-    _log.debug('refused {}', message)
+    _log.debug('message-refused', message=message)
     return False
 
 
@@ -179,11 +179,11 @@
     row.vote_version = world.plans.get(row.service).version
     row.heir = heir
     _log.info(
-        'voted to fence host={} incarnation={} plan={} heir={}',
-        row.host.host_id,
-        row.host.number,
-        row.vote_version,
-        heir,
+        'fence-voted',
+        host=row.host.host_id,
+        incarnation=row.host.number,
+        plan=row.vote_version,
+        heir=heir,
     )
     _repeat(world, row)
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from laburnumlatch.core import metrics
 from laburnumlatch.experiments import measures
+from laburnumlatch.slots import metrics
 from laburnumlatch.slots import planrows
 from laburnumlatch.slots import requestmsg
 from tests import test_requests
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -38,7 +38,7 @@
     def test_a_line_every_two_seconds(self):
         ticker = clock.ManualClock()
         stream = io.StringIO()
-        shown = progress.Progress(ticker, stream)
+        shown = progress.Progress(ticker, stream, 'workload')
         for share in (0.1, 0.2, 0.3):
             shown.report(share)
             ticker.advance(1999)
