Choose hosts by the expected end; admit less while calls fail

- mesh/throttling: an agent sees the calls of its own backend server.
While more than a tenth of those of a route are refused or late, it admits fewer requests of that route, and more again as calls succeed.
- mesh/choosing: a host is chosen by wait and usual work time of the route, reported with each answer, not by wait alone; an idle slow host looked as good as an idle fast one.
Failing hosts cost a wait.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -9,6 +9,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 
 # A request must have this part of the usual time left when it starts.
@@ -41,6 +42,17 @@
     if obstacle is not None:
         requests.refuse(world, request, *obstacle)
         return
+    if not request.is_nested and not throttling.admits(world, request.route):
+        decisions.note(
+            world,
+            request,
+            'throttled',
+            share=world.throttles.get(request.route).share,
+        )
+        requests.refuse(
+            world, request, messages.Reason.CALLS_FAIL, throttling.RETRY_MS
+        )
+        return
     wait_ms = worktimes.expected_wait_ms(world, request)
     left_ms = request.deadline - now - worktimes.work_ms(world, request.route)
     longest_ms = int(world.wait_policy.longest_wait_ms(request, left_ms))
--- /dev/null
+++ b/laburnumlatch/mesh/choosing.py
@@ -0,0 +1,89 @@
+"""Policies for the host of a request whose service is not divided by key."""
+
+import abc
+
+from laburnumlatch.mesh import worktimes
+
+# A host in another failure domain must be this much sooner to be chosen, and
+# so much more for each KB of the body: bytes between domains are dear.
+OTHER_DOMAIN_MS = 20
+OTHER_DOMAIN_MS_PER_KB = 20
+BYTES_PER_KB = 1000
+# A host whose every answer is a failure is as good as one with this wait.
+FAILED_MS = 1000
+# A slow host gets little work and so is seldom heard; in this time half of
+# what it is slower by is forgotten, so that it is tried again.
+SLOW_HALF_LIFE_MS = 2000
+
+
+class HostPolicy(abc.ABC):
+    """Chooses one of the hosts that can serve a request."""
+
+    @abc.abstractmethod
+    def choose(self, world, request, hosts):
+        """Return one of `hosts`, a sequence of `rows.Host`."""
+
+
+class SoonestEndPolicy(HostPolicy):
+    """Chooses where the request is expected to end soonest.
+
+    Answers hosts of different speed, slow and failing ones, and those whose
+    queue is full. The own requests under way count at once, reports of other
+    hosts until they are older than the wait that they tell of.
+    """
+
+    def choose(self, world, request, hosts):
+        """Return the host with the least cost, by chance among equals."""
+        usual_ms = min(_known_work_ms(world, request, host) for host in hosts)
+        return min(
+            hosts,
+            key=lambda host: (
+                _cost_ms(world, request, host, usual_ms),
+                world.rng.random(),
+            ),
+        )
+
+
+class RandomPolicy(HostPolicy):
+    """Chooses by chance: the baseline for `SoonestEndPolicy`."""
+
+    def choose(self, world, request, hosts):
+        """Return any host."""
+        return world.rng.choice(hosts)
+
+
+def _cost_ms(world, request, host, usual_ms):
+    cost_ms = (
+        _wait_ms(world, host)
+        + _work_ms(world, request, host, usual_ms)
+        + host.failed_rate * FAILED_MS
+    )
+    if host.record.domain == world.settings.domain:
+        return cost_ms
+    body_kb = len(request.body) / BYTES_PER_KB
+    return cost_ms + OTHER_DOMAIN_MS + body_kb * OTHER_DOMAIN_MS_PER_KB
+
+
+def _wait_ms(world, host):
+    """Return how long a request would wait at a host, as far as known here."""
+    if host.host_id == world.host_id:
+        return worktimes.expected_wait_ms(world)
+    reported = max(0, host.wait_ms - (world.now - host.reported))
+    slots = max(1, host.record.slots)
+    beyond = max(0, host.in_flight + 1 - slots)
+    return max(reported, beyond * worktimes.DEFAULT_WORK_MS / slots)
+
+
+def _work_ms(world, request, host, usual_ms):
+    """Return what the request takes at a host; `usual_ms` if unknown."""
+    known_ms = _known_work_ms(world, request, host)
+    if host.host_id == world.host_id:
+        return known_ms
+    halvings = (world.now - host.reported) / SLOW_HALF_LIFE_MS
+    return usual_ms + (known_ms - usual_ms) * 0.5**halvings
+
+
+def _known_work_ms(world, request, host):
+    if host.host_id == world.host_id:
+        return worktimes.work_ms(world, request.route)
+    return host.work_ms.get(request.route, worktimes.DEFAULT_WORK_MS)
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -40,6 +40,7 @@
     NOT_OWNER = 'not-owner'
     SERVER_DOWN = 'server-down'
     SHED = 'shed'
+    CALLS_FAIL = 'calls-fail'
     TOO_LATE = 'too-late'
     BROKEN = 'broken'
     UNREACHABLE = 'unreachable'
@@ -128,13 +129,15 @@
 class ExchangeEnded:
     """The whole answer came from the backend server or another agent.
 
-    `wait_ms` is how long a new request would wait there, None if unknown.
+    `wait_ms` is how long a new request would wait there, `work_ms` how long
+    one of the same route usually takes; None if unknown.
     """
 
     number: int
     exchange: int
     answer: Answer
     wait_ms: int | None = None
+    work_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -218,11 +221,16 @@
 
 @attrs.define(frozen=True)
 class ReplyAnswer:
-    """Pass the answer back to the agent that forwarded the request."""
+    """Pass the answer back to the agent that forwarded the request.
+
+    `wait_ms` is how long a new request would wait here, `work_ms` how long
+    one of the same route usually takes.
+    """
 
     number: int
     answer: Answer
     wait_ms: int
+    work_ms: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -58,6 +58,8 @@
         world.backend.failed_since = None
     else:
         _heard(world, request.host_id, ended.wait_ms, now)
+        if host is not None and ended.work_ms is not None:
+            host.work_ms[request.route] = ended.work_ms
     requests.deliver(world, request, ended.answer)
 
 
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -129,7 +129,11 @@
         if isinstance(message, messages.ReplyAnswer):
             inbound.send(
                 peermsg.Answered(
-                    number, exchange, message.answer, message.wait_ms
+                    number,
+                    exchange,
+                    message.answer,
+                    message.wait_ms,
+                    message.work_ms,
                 )
             )
             return
@@ -333,7 +337,11 @@
 def _event_of(message):
     if isinstance(message, peermsg.Answered):
         return messages.ExchangeEnded(
-            message.number, message.exchange, message.answer, message.wait_ms
+            message.number,
+            message.exchange,
+            message.answer,
+            message.wait_ms,
+            message.work_ms,
         )
     return messages.ExchangeFailed(
         number=message.number,
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -32,12 +32,13 @@
 
 @attrs.define(frozen=True)
 class Answered:
-    """The answer to an `Ask`."""
+    """The answer to an `Ask`; times as in `messages.ReplyAnswer`."""
 
     number: int
     exchange: int
     answer: messages.Answer
     wait_ms: int
+    work_ms: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -11,20 +11,11 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
-from laburnumlatch.mesh import worktimes
 
 # For callers that do not say how long they wait.
 DEFAULT_TIME_MS = 30_000
 DEFAULT_TARGET_MS = 1000
 NOT_READY_RETRY_MS = 500
-# A host in another failure domain must be this much sooner to be chosen, and
-# so much more for each KB of the body: bytes between domains are dear.
-OTHER_DOMAIN_MS = 20
-OTHER_DOMAIN_MS_PER_KB = 20
-BYTES_PER_KB = 1000
-# A host whose every answer is a failure is as good as one with this wait.
-FAILED_MS = 1000
-
 _log = logs.logger('requests')
 
 
@@ -68,8 +59,8 @@
     if configuration is None:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
         return
-    is_nested = _is_nested(world, arrived.head.request_id)
-    if leaving.refuses_callers(world, now) and not is_nested:
+    parent = _parent(world, arrived.head.request_id)
+    if leaving.refuses_callers(world, now) and parent is None:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
         return
     path = arrived.head.target.partition('?')[0]
@@ -81,6 +72,9 @@
         _refuse(world, arrived, messages.Verdict.TOO_LARGE, 'too-large')
         return
     request = _row(world, arrived, route, now)
+    if parent is not None:
+        request.is_nested = True
+        request.parent_route = parent.route
     retrybudget.count_request(world, request.service, now)
     decisions.note(
         world,
@@ -140,21 +134,22 @@
         caller_deadline=caller_deadline,
         target_ms=route.target_ms or DEFAULT_TARGET_MS,
         route=route.name,
-        is_nested=_is_nested(world, arrived.head.request_id),
     )
 
 
-def _is_nested(world, request_id):
-    """Tell whether the request is a call of one that runs on this host.
+def _parent(world, request_id):
+    """Return the request that runs on this host and makes this call, or None.
 
     A backend server derives the ID of a call from that of its request.
     """
-    parent, dot, _own = request_id.rpartition('.')
-    return bool(dot) and any(
-        request.request_id == parent
-        and request.state == rows.RequestState.RUNNING
-        for request in world.requests
-    )
+    parent_id, dot, _own = request_id.rpartition('.')
+    if not dot:
+        return None
+    for request in world.requests:
+        is_running = request.state == rows.RequestState.RUNNING
+        if is_running and request.request_id == parent_id:
+            return request
+    return None
 
 
 def _service_of(world, route):
@@ -259,29 +254,7 @@
     fresh = [host for host in hosts if host.host_id not in request.tried]
     if not fresh:
         return None
-    domain = world.settings.domain
-    crossing_ms = OTHER_DOMAIN_MS + (
-        len(request.body) / BYTES_PER_KB * OTHER_DOMAIN_MS_PER_KB
-    )
-    return min(
-        fresh,
-        key=lambda host: (
-            _wait_ms(world, host, now)
-            + (host.record.domain != domain) * crossing_ms,
-            world.rng.random(),
-        ),
-    )
-
-
-def _wait_ms(world, host, now):
-    """Return how long a request would wait at a host, as far as known here."""
-    if host.host_id == world.host_id:
-        return worktimes.expected_wait_ms(world)
-    reported = max(0, host.wait_ms - (now - host.reported))
-    slots = max(1, host.record.slots)
-    beyond = max(0, host.in_flight + 1 - slots)
-    waiting_ms = max(reported, beyond * worktimes.DEFAULT_WORK_MS / slots)
-    return waiting_ms + host.failed_rate * FAILED_MS
+    return world.host_policy.choose(world, request, fresh)
 
 
 def _forward(world, request, host, now):
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -4,6 +4,7 @@
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 
 MIN_RETRY_AFTER_MS = 50
@@ -36,6 +37,8 @@
     """Tell the caller or the forwarding agent; drop the row."""
     drop(world, request)
     counting.count_end(world, request, verdict, reason)
+    if request.parent_route:
+        throttling.count_call(world, request.parent_route, has_failed=True)
     decisions.conclude(
         world,
         request,
@@ -72,6 +75,10 @@
     counting.count_end(world, request, ANSWERED, answer.status)
     age_ms = world.now - request.arrived
     is_in_time = age_ms <= request.target_ms
+    if request.parent_route:
+        throttling.count_call(
+            world, request.parent_route, has_failed=not is_in_time
+        )
     decisions.conclude(
         world,
         request,
@@ -87,9 +94,13 @@
     if request.is_detached:
         return
     if request.sender:
-        wait_ms = worktimes.expected_wait_ms(world)
         world.outbox.post(
-            messages.ReplyAnswer(request.number, answer, wait_ms),
+            messages.ReplyAnswer(
+                request.number,
+                answer,
+                wait_ms=worktimes.expected_wait_ms(world),
+                work_ms=int(worktimes.work_ms(world, request.route)),
+            ),
         )
         return
     counting.observe(world, request, age_ms)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -49,7 +49,8 @@
 
     `in_flight` counts this agent's own requests there; `wait_ms` is how long
     a new request would wait, as last reported at `reported` and grown by own
-    requests since. `failed_rate` is the moving share of answers that told of
+    requests since. `work_ms` is what requests of a route usually take there,
+    as reported with answers. `failed_rate` is the moving share of answers that told of
     a failure. Until `avoid_until` the host is used only if no other is left.
     """
 
@@ -59,6 +60,7 @@
     wait_ms: float = 0
     reported: int = 0
     failed_rate: float = 0
+    work_ms: dict[str, int] = attrs.Factory(dict)
     avoid_until: int = 0
     failures: int = 0
 
@@ -117,7 +119,8 @@
     host that forwarded it here, empty for a caller's own request. `sends`
     counts exchanges in which a backend server may have got the request;
     `may_have_run` tells that one of them may have run it. `is_nested` tells
-    that a request which runs at a backend server waits for this one.
+    that a request which runs at a backend server waits for this one;
+    `parent_route` is that request's route, on its own host only.
     `decisions` are those not yet written to the log; from
     `is_logged_whole` on each is written when it is made.
     """
@@ -147,6 +150,7 @@
     may_have_run: bool = False
     plan_version: int = 0
     is_nested: bool = False
+    parent_route: str = ''
     decisions: list = attrs.Factory(list)
     is_logged_whole: bool = False
 
--- /dev/null
+++ b/laburnumlatch/mesh/throttling.py
@@ -0,0 +1,84 @@
+"""System: admits fewer requests of a route while the calls they make fail.
+
+A backend server calls other services while it runs a request, and fails the
+request if a call is refused. Where such a service is overloaded, work on most
+requests is wasted, and so are the calls that did succeed. This agent sees
+the calls of its own backend server, and admits only as many requests of the
+calling route as have calls that succeed.
+"""
+
+import attrs
+
+ADJUST_MS = 250
+# Calls may fail at this rate before fewer requests are admitted.
+FAILED_RATE = 0.1
+DECREASE_RATE = 0.85
+INCREASE_SHARE = 0.02
+# Some requests always go on: their calls show when there is room again.
+LEAST_SHARE = 0.1
+# A refused caller finds room when the share has grown again.
+RETRY_MS = 1000
+
+
+@attrs.define
+class Throttle:
+    """Admission of one route: `share` of its requests, by `credit`.
+
+    `calls` and `failed` count the calls of its requests that have ended since
+    `share` was adjusted.
+    """
+
+    route: str
+    share: float = 1
+    credit: float = 0
+    calls: int = 0
+    failed: int = 0
+
+
+def run(world, now):
+    """Adjust the shares to the calls that ended."""
+    if not len(world.throttles) or not world.due(
+        'throttling/adjust', ADJUST_MS, now
+    ):
+        return
+    for throttle in world.throttles:
+        adjust(throttle)
+        if throttle.share >= 1 and not throttle.calls:
+            world.throttles.pop(throttle.route)
+
+
+def adjust(throttle):
+    """Admit less if too many calls failed, else a little more."""
+    if throttle.failed > FAILED_RATE * throttle.calls:
+        throttle.share = max(LEAST_SHARE, throttle.share * DECREASE_RATE)
+    else:
+        throttle.share = min(1, throttle.share + INCREASE_SHARE)
+    throttle.calls = 0
+    throttle.failed = 0
+
+
+def count_call(world, route, *, has_failed):
+    """Count a call that a request of `route` made.
+
+    A call that was answered too late counts as failed: the service that is
+    called has more work than it can do.
+    """
+    throttle = world.throttles.get(route)
+    if throttle is None:
+        if not has_failed:
+            return
+        throttle = world.throttles.put(route, Throttle(route))
+    throttle.calls += 1
+    throttle.failed += has_failed
+
+
+def admits(world, route):
+    """Tell whether the next request of a route may run."""
+    throttle = world.throttles.get(route)
+    if throttle is None:
+        return True
+    throttle.credit += throttle.share
+    if throttle.credit < 1:
+        return False
+    throttle.credit -= 1
+    return True
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -13,6 +13,7 @@
 from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh import throttling
 
 # The store's answers are counted before other systems take them. What is
 # believed about hosts and keys comes before requests, so that each
@@ -29,6 +30,7 @@
     expiry,
     outcomes,
     placement,
+    throttling,
     admission,
     dispatch,
     leaving,
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -6,6 +6,7 @@
 
 from laburnumlatch.core import tables
 from laburnumlatch.core import ticking
+from laburnumlatch.mesh import choosing
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
@@ -25,6 +26,7 @@
     rng: random.Random
     started: int
     wait_policy: waiting.WaitPolicy = attrs.Factory(waiting.TargetWaitPolicy)
+    host_policy: choosing.HostPolicy = attrs.Factory(choosing.SoonestEndPolicy)
     configuration: routes.Configuration | None = None
     backend: rows.Backend | None = None
     hosts: tables.Table = attrs.Factory(tables.Table)
@@ -35,6 +37,7 @@
     placements: tables.DueQueue = attrs.Factory(tables.DueQueue)
     split_credits: tables.Table = attrs.Factory(tables.Table)
     work_times: tables.Table = attrs.Factory(tables.Table)
+    throttles: tables.Table = attrs.Factory(tables.Table)
     retry_windows: tables.Table = attrs.Factory(tables.Table)
     plans: tables.Table = attrs.Factory(tables.Table)
     holdings: tables.Table = attrs.Factory(tables.Table)
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -8,6 +8,8 @@
 import itertools
 import random
 
+import attrs
+
 from laburnumlatch.core import storemsg
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leasemsg
@@ -26,6 +28,8 @@
 SERVICE = 'bokun'
 OTHER_SERVICE = 'moti'
 KEPT_MS = 400
+# The time that a call of a running request may take.
+NESTED_MS = 600
 
 CONFIGURATION = routes.Configuration(
     version=1,
@@ -129,6 +133,8 @@
         self.host_id = host_id
         self.service = service
         self.work_ms = work_ms
+        self.status = 200
+        self.calls = 0
         self.is_up = True
         self.life = ranges.Life(f's-{host_id}', net.now)
         self.grants = []
@@ -209,7 +215,9 @@
 class Net:
     """The hosts and what is under way between them."""
 
-    def __init__(self, hosts, seed=1, configuration=CONFIGURATION):
+    def __init__(
+        self, hosts, seed=1, configuration=CONFIGURATION, policies=None
+    ):
         """`hosts` are (host_id, service, domain)."""
         self.now = 1_000_000
         self.rng = random.Random(seed)
@@ -223,6 +231,9 @@
         self.stopped = {}
         self.loses_plans = 0
         self.outcomes = {}
+        self.arrived = {}
+        self.ended = {}
+        self.policies = policies or {}
         self.domains = {}
         self.forwards = {}
         self._events = []
@@ -251,9 +262,8 @@
             store_address='store:1',
             memory_bytes=10**8,
         )
-        self.worlds[host_id] = worlds.create(
-            own, self.rng.getrandbits(32), self.now
-        )
+        world = worlds.create(own, self.rng.getrandbits(32), self.now)
+        self.worlds[host_id] = attrs.evolve(world, **self.policies)
 
     def stop(self, host_id):
         """End the agent of a host at once."""
@@ -283,7 +293,7 @@
         if world is not None:
             world.inbox.post(message)
 
-    def call(self, host_id, path, key=None, time_left_ms=1500):
+    def call(self, host_id, path, key=None, time_left_ms=1500, request_id=''):
         """Send a caller's request; return its number."""
         number = next(self._numbers)
         service = OTHER_SERVICE if path == '/' else SERVICE
@@ -292,11 +302,12 @@
             target=f'{path}x',
             host=f'{service}.example',
             fields=(),
-            request_id=f'r{number}',
+            request_id=request_id or f'r{number}',
             key=key,
             caller_service=self.backends[host_id].service,
         )
         self.outcomes[number] = None
+        self.arrived[number] = self.now
         self.post(
             host_id,
             messages.RequestArrived(number, head, b'', time_left_ms),
@@ -445,15 +456,16 @@
         for send in outbox.take(messages.Send):
             self._run(host_id, send)
         for delivered in outbox.take(messages.Deliver):
-            self.outcomes[delivered.number] = delivered
+            self._end(delivered)
         for refused in outbox.take(messages.Refuse):
-            self.outcomes[refused.number] = refused
+            self._end(refused)
         for answered in outbox.take(messages.ReplyAnswer):
             self._reply(
                 answered.number,
                 messages.ExchangeEnded,
                 answer=answered.answer,
                 wait_ms=answered.wait_ms,
+                work_ms=answered.work_ms,
             )
         for told in outbox.take(messages.ReplyRefusal):
             self._reply(
@@ -466,6 +478,10 @@
                 wait_ms=told.wait_ms,
             )
 
+    def _end(self, told):
+        self.outcomes[told.number] = told
+        self.ended[told.number] = self.now
+
     def _forward(self, host_id, sent):
         forward = sent.forward
         if sent.host_id not in self.worlds or self.is_cut(
@@ -518,9 +534,34 @@
         end = self.now + backend.work_ms
         backend.running[send.number] = (key, end)
         backend.started.append((self.now, send.head.request_id))
-        self.later(backend.work_ms, self._end, host_id, backend.life, send)
+        act = self._call if backend.calls else self._finish
+        self.later(backend.work_ms, act, host_id, backend.life, send)
 
-    def _end(self, host_id, life, send):
+    def _call(self, host_id, life, send, made=0):
+        """Make the calls of a request one after another."""
+        backend = self.backends[host_id]
+        if made == backend.calls:
+            self._finish(host_id, life, send)
+            return
+        number = self.call(
+            host_id,
+            '/',
+            time_left_ms=NESTED_MS,
+            request_id=f'{send.head.request_id}.{made}',
+        )
+        self._follow_call(host_id, life, send, made, number)
+
+    def _follow_call(self, host_id, life, send, made, number):
+        outcome = self.outcomes[number]
+        if outcome is None:
+            following = (self._follow_call, host_id, life, send, made, number)
+            self.later(STEP_MS, *following)
+        elif isinstance(outcome, messages.Deliver):
+            self._call(host_id, life, send, made + 1)
+        else:
+            self._finish(host_id, life, send, 500)
+
+    def _finish(self, host_id, life, send, status=None):
         backend = self.backends[host_id]
         if backend.life != life or not backend.is_up:
             return
@@ -530,13 +571,16 @@
             messages.ExchangeEnded(
                 send.number,
                 send.exchange,
-                messages.Answer(200, (), host_id.encode()),
+                messages.Answer(status or backend.status, (), host_id.encode()),
             ),
         )
 
 
-def deployment(divided=4, others=2, seed=1):
-    """Return a started deployment of two services in three domains."""
+def deployment(divided=4, others=2, seed=1, **policies):
+    """Return a started deployment of two services in three domains.
+
+    `policies` are fields of the worlds that replace the usual policies.
+    """
     hosts = [
         (f'b{number}', SERVICE, f'd{number % 3}') for number in range(divided)
     ]
@@ -544,6 +588,6 @@
         (f'm{number}', OTHER_SERVICE, f'd{number % 3}')
         for number in range(others)
     ]
-    net = Net(hosts, seed)
+    net = Net(hosts, seed, policies=policies)
     net.run(6000)
     return net
