Notice slow and cold backend servers by the work that still runs

- Running requests that have lasted longer than usual stretch the expected wait and the time a new request needs, if they fill half of the slots.
- The first work times of a route count equally, so that the initial guess is soon forgotten; failures teach only if they took longer than usual.

--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -51,9 +51,7 @@
     if host is not None:
         host.failed_rate += FAILED_WEIGHT * (is_failure - host.failed_rate)
     if request.state == rows.RequestState.RUNNING:
-        if not is_failure:
-            # A failure is often quick, and would make the server look fast.
-            worktimes.learn(world, request, now)
+        worktimes.learn(world, request, now, has_failed=is_failure)
         world.backend.failures = 0
         world.backend.failed_since = None
     else:
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -92,6 +92,14 @@
     heard: int = 0
 
 
+@attrs.define
+class WorkTime:
+    """What requests of a route take at the backend server, from `count`."""
+
+    mean_ms: float
+    count: int = 0
+
+
 @attrs.define
 class Counter:
     """How often something happened since the agent started."""
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -1,22 +1,59 @@
 """How long work takes at the local backend server, and how long it waits."""
 
+from laburnumlatch.mesh import rows
+
 DEFAULT_WORK_MS = 150.0
 WORK_WEIGHT = 0.1
+# Running work tells of slowness if it fills this part of the slots.
+SLOWNESS_SLOT_RATE = 0.5
 # What is told of the wait while there is no backend server.
 DOWN_WAIT_MS = 800
 
 
 def work_ms(world, route):
-    """Return the usual time of a request of a route here, in ms."""
-    known = world.work_times.get(route)
-    return DEFAULT_WORK_MS if known is None else known
+    """Return the time that a request of a route takes here now, in ms."""
+    return _usual_ms(world, route) * slowness(world)
+
+
+def slowness(world):
+    """Return how many times longer than usual work takes now, 1 at least.
 
+    Work that has not ended yet shows sooner than ended work that the backend
+    server has become slow, or is still cold after a start.
+    """
+    backend = world.backend
+    if backend is None:
+        return 1
+    running = [
+        request
+        for request in world.requests
+        if request.state == rows.RequestState.RUNNING
+    ]
+    if not running or len(running) < backend.slots * SLOWNESS_SLOT_RATE:
+        # A few long requests are no sign.
+        return 1
+    lasted_ms = sum(world.now - request.started for request in running)
+    usual_ms = sum(_usual_ms(world, request.route) for request in running)
+    return max(1, lasted_ms / usual_ms)
 
-def learn(world, request, now):
-    """Learn how long the backend server took for a request."""
+
+def learn(world, request, now, *, has_failed):
+    """Learn how long the backend server took for a request.
+
+    A failure is often quick, and would make the server look fast; it counts
+    only if it took longer than usual.
+    """
     took_ms = max(1, now - request.started)
-    known = work_ms(world, request.route)
-    world.work_times.put(request.route, known + WORK_WEIGHT * (took_ms - known))
+    usual_ms = _usual_ms(world, request.route)
+    if has_failed and took_ms < usual_ms:
+        return
+    known = world.work_times.get(request.route)
+    if known is None:
+        known = world.work_times.put(request.route, rows.WorkTime(usual_ms))
+    known.count += 1
+    # The first ones count equally, so that a guess is soon forgotten.
+    weight = max(WORK_WEIGHT, 1 / known.count)
+    known.mean_ms += weight * (took_ms - known.mean_ms)
     world.report.busy_ms += took_ms
     world.report.done += 1
 
@@ -31,7 +68,7 @@
         return DOWN_WAIT_MS
     rank = world.wait_policy.rank
     ahead = [
-        work_ms(world, request.route)
+        _usual_ms(world, request.route)
         for request in world.queue
         if newcomer is None or rank(request) <= rank(newcomer)
     ]
@@ -39,9 +76,15 @@
         return 0
     # Running requests are half done on average.
     running_ms = backend.running * _mean_work_ms(world) / 2
-    return int((sum(ahead) + running_ms) / backend.slots)
+    ahead_ms = (sum(ahead) + running_ms) * slowness(world)
+    return int(ahead_ms / backend.slots)
+
+
+def _usual_ms(world, route):
+    known = world.work_times.get(route)
+    return DEFAULT_WORK_MS if known is None else known.mean_ms
 
 
 def _mean_work_ms(world):
-    means = tuple(world.work_times)
+    means = [known.mean_ms for known in world.work_times]
     return sum(means) / len(means) if means else DEFAULT_WORK_MS
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -3,6 +3,7 @@
 docs/platform.md lists the shares answered in time.
 """
 
+import math
 import types
 
 import attrs
@@ -12,6 +13,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import waiting
+from laburnumlatch.mesh import worktimes
 from tests import meshnet
 
 STATUS_TARGET_MS = 300
@@ -219,6 +221,22 @@
         )
         assert 1 - after < (1 - before) / 2
 
+    def test_owners_turn_slow(self, monkeypatch):
+        """Guards against work that is admitted as if servers were fast."""
+        found = []
+        for slot_rate in (math.inf, worktimes.SLOWNESS_SLOT_RATE):
+            monkeypatch.setattr(worktimes, 'SLOWNESS_SLOT_RATE', slot_rate)
+            net = meshnet.deployment()
+            for host_id in ('b0', 'b1'):
+                backend = net.backends[host_id]
+                net.later(1000, setattr, backend, 'work_ms', 500)
+                net.later(4000, setattr, backend, 'work_ms', 100)
+            load = Load(net, '/look/', 1.5)
+            load.run(5000)
+            found.append(load.share_in(LOOK_TARGET_MS))
+        before, after = found
+        assert after > before
+
     def _load(self, net, work_ms, status=200):
         net.backends['m0'].work_ms = work_ms
         net.backends['m0'].status = status
