--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -50,8 +50,9 @@
     `in_flight` counts this agent's own requests there; `wait_ms` is how long
     a new request would wait, as last reported at `reported` and grown by own
     requests since. `work_ms` is what requests of a route usually take there,
-    as reported with answers. `failed_rate` is the moving share of answers that told of
-    a failure. Until `avoid_until` the host is used only if no other is left.
+    as reported with answers. `failed_rate` is the moving share of answers
+    that told of a failure. Until `avoid_until` the host is used only if no
+    other is left.
     """
 
     record: HostRecord
--- a/laburnumlatch/mesh/throttling.py
+++ b/laburnumlatch/mesh/throttling.py
@@ -41,10 +41,10 @@
         'throttling/adjust', ADJUST_MS, now
     ):
         return
-    for throttle in world.throttles:
+    for route, throttle in world.throttles.items():
         adjust(throttle)
-        if throttle.share >= 1 and not throttle.calls:
-            world.throttles.pop(throttle.route)
+        if throttle.share >= 1:
+            world.throttles.pop(route)
 
 
 def adjust(throttle):
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -125,7 +125,7 @@
                 assert response.code == OK
             log = (folder / 'h3.log').read_text(encoding='utf-8')
             assert 'grace_ms=7000' in log
-            assert 'the file is not valid' in log
+            assert 'error agent settings-refused' in log
 
 
 class TestBadInput:
