--- a/laburnumlatch/slots/dispatch.py
+++ b/laburnumlatch/slots/dispatch.py
@@ -22,10 +22,6 @@
         if server.running >= admission.limit(server, now):
             return
         if ownership.is_releasing(world, request.service, request.slot):
-            if request.repeatable:
-                # Its ingress sends it to the next owner, or knows at the
-                # deadline that it has not run.
-                requests.park(world, request, requestmsg.Reason.NOT_OWNER)
             continue
         if _may_start(world, request, now):
             _start(world, request, server, now)
