Wait for new grants as long as healing may take; trace of the flaky test

Traced by a run on the same deployment: bokun-2 is paused while two of its three witnesses restart. Its slots stay unserved (64 grants, 0 of 16 keys answered) until 10.4 s after the faults began, then 16 of 16 keys are answered and new grants are recorded. In the failed scenario the witnesses of bokun-2 were bokun-5, bokun-1 and bokun-3; the scenarios restart bokun-1 and bokun-3 within seconds. The design names this case (two witnesses of one host lost within the seconds that the planner needs) and the tests of healing state when slots are served again: 22 s. The check stays as it was, no new grant is a failure, but it is made after up to 22 s, and every poll until then judges the one-owner rule. The same cause fits test_losses_of_agents_and_store.

Publishing in the set-up had 5 s, the limit for a process to end; it now has the 10 s in which a change has to be in force everywhere.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -16,6 +16,8 @@
 FIRST_PORT = 20000
 LAST_PORT = 32000
 END_LIMIT_S = 5
+# A change of the configuration is in force everywhere within this time.
+PUBLISH_LIMIT_S = 10
 POLL_S = 0.05
 REQUEST_TIMEOUT_S = 5
 HTTP_OK = 200
@@ -149,7 +151,7 @@
             self.store,
             *paths,
         )
-        if await self.processes.wait('publish'):
+        if await self.processes.wait('publish', PUBLISH_LIMIT_S):
             raise NotReadyError(
                 f'publishing failed, see {self.processes.log_path("publish")}',
             )
--- a/tests/trials.py
+++ b/tests/trials.py
@@ -8,6 +8,7 @@
 import base64
 import collections
 import contextlib
+import functools
 import json
 import signal
 
@@ -20,8 +21,10 @@
 HOSTS = tuple(labs.spec(number, checks_grants=True) for number in range(1, 6))
 PAST_LEASE_S = 2.5
 SETTLE_S = 4
+# Slots of a host that lost two witnesses at once are served again by then.
+HEAL_S = 22
 # Not judged: it only ends a run that hangs.
-LIMIT_S = 60
+LIMIT_S = 90
 
 
 class Trial:
@@ -82,6 +85,15 @@
             newest[slot] = token
         return sum(len(one['grants']) for one in recorded.values())
 
+    async def wait_for_grants(self, before):
+        """Judge until there are more grants than `before`; count them."""
+        has_more = functools.partial(self._has_more, before)
+        await processes.until('new grants', has_more, HEAL_S)
+        return await self.check()
+
+    async def _has_more(self, before):
+        return await self.check() > before
+
     async def _all_answered(self):
         records = await self.lab.calls(labs.RACK, 2 * takeover.KEYS)
         return all(record.server for record in records)
@@ -129,8 +141,8 @@
     try:
         for scenario in scenarios:
             await scenario(trial)
-            before, granted = granted, await trial.settle()
+            await trial.settle()
             # Without new grants nothing would have been judged.
-            assert granted > before, scenario
+            granted = await trial.wait_for_grants(granted)
     finally:
         await trial.end()
