Place a caller's request elsewhere if the own host cannot take it

- An agent judges its own host by its backend server, not by its row.
- What the own host cannot queue goes to another host of an undivided service, as a forwarded request that was refused does already.

Both tests failed before (6 calls beside a leaving server, 18 uploads of 60 KB for 18 slots on three hosts) and pass now.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -3,6 +3,8 @@
 All work for the backend server passes here, so its count is exact.
 """
 
+import attrs
+
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import holdings
@@ -21,10 +23,12 @@
 
 def run(world, now):
     """Refuse what waits and can no longer be served in time."""
-    obstacle = _obstacle(world, now)
+    obstacle = obstacle_to_all(world, now)
     for request in world.queue:
         if obstacle is not None:
-            requests.refuse(world, request, *obstacle)
+            requests.refuse(
+                world, request, obstacle.reason, obstacle.retry_after_ms
+            )
         elif _is_too_late(world, request, now):
             requests.refuse(
                 world,
@@ -34,14 +38,24 @@
             )
 
 
+@attrs.define(frozen=True)
+class Obstacle:
+    """Why a request cannot wait here, and when there may be room again."""
+
+    reason: messages.Reason
+    retry_after_ms: int
+
+
 def enter(world, request, now):
-    """Queue a request for the local backend server, or refuse it."""
+    """Queue a request for the local backend server.
+
+    Returns the `Obstacle` if it is not queued, else None.
+    """
     if request.head.key is not None:
         world.report.cells[balancing.cell_of(request.head.key)] += 1
-    obstacle = _obstacle(world, now)
+    obstacle = obstacle_to_all(world, now)
     if obstacle is not None:
-        requests.refuse(world, request, *obstacle)
-        return
+        return obstacle
     if not request.is_nested and not throttling.admits(world, request.route):
         decisions.note(
             world,
@@ -49,10 +63,7 @@
             'throttled',
             share=world.throttles.get(request.route).share,
         )
-        requests.refuse(
-            world, request, messages.Reason.CALLS_FAIL, throttling.RETRY_MS
-        )
-        return
+        return Obstacle(messages.Reason.CALLS_FAIL, throttling.RETRY_MS)
     wait_ms = worktimes.expected_wait_ms(world, request)
     left_ms = request.deadline - now - worktimes.work_ms(world, request.route)
     longest_ms = int(world.wait_policy.longest_wait_ms(request, left_ms))
@@ -66,16 +77,13 @@
         queued=len(world.queue),
     )
     if wait_ms > longest_ms:
-        requests.refuse(
-            world,
-            request,
-            messages.Reason.NO_ROOM,
-            world.wait_policy.return_ms(wait_ms),
+        return Obstacle(
+            messages.Reason.NO_ROOM, world.wait_policy.return_ms(wait_ms)
         )
-        return
     request.state = rows.RequestState.QUEUED
     request.host_id = world.host_id
     world.queue.put(request.number, request)
+    return None
 
 
 def in_order(world, now):
@@ -97,15 +105,15 @@
     return backend.closing_at is not None and now >= backend.closing_at
 
 
-def _obstacle(world, now):
-    """Return why no work can start here, with ms to come back, or None."""
+def obstacle_to_all(world, now):
+    """Return the `Obstacle` if no work at all can start here, or None."""
     backend = world.backend
     if backend is None or backend.failed_since is not None:
-        return messages.Reason.SERVER_DOWN, DOWN_RETRY_MS
+        return Obstacle(messages.Reason.SERVER_DOWN, DOWN_RETRY_MS)
     if is_closed(backend, now):
-        return messages.Reason.NOT_OWNER, 0
+        return Obstacle(messages.Reason.NOT_OWNER, 0)
     if world.is_finishing(now):
-        return messages.Reason.SERVER_DOWN, RESTART_MS
+        return Obstacle(messages.Reason.SERVER_DOWN, RESTART_MS)
     return None
 
 
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -40,7 +40,9 @@
     if host is None:
         requests.park(world, request, messages.Reason.NO_HOST)
     elif host.host_id == world.host_id:
-        admission.enter(world, request, now)
+        obstacle = admission.enter(world, request, now)
+        if obstacle is not None:
+            _turn_away(world, request, obstacle, now)
     else:
         _forward(world, request, host, now)
 
@@ -53,6 +55,16 @@
     )
 
 
+def _turn_away(world, request, obstacle, now):
+    """Place a caller's request on another host, or refuse it."""
+    request.tried.append(world.host_id)
+    is_divided = world.is_divided(request.service)
+    if not is_divided and has_untried_host(world, request, now):
+        place(world, request, now)
+        return
+    requests.refuse(world, request, obstacle.reason, obstacle.retry_after_ms)
+
+
 def _take_arrived(world, arrived, now):
     counting.count(world, 'requests_received')
     configuration = world.configuration
@@ -194,7 +206,7 @@
     decisions.note(
         world,
         request,
-        'taken-over',
+        'forward-received',
         sender=forwarded.sender,
         service=request.service,
         route=request.route,
@@ -208,7 +220,11 @@
     if _is_misplaced(world, request, forward.plan_version):
         requests.refuse(world, request, messages.Reason.NOT_OWNER)
         return
-    admission.enter(world, request, now)
+    obstacle = admission.enter(world, request, now)
+    if obstacle is not None:
+        requests.refuse(
+            world, request, obstacle.reason, obstacle.retry_after_ms
+        )
 
 
 def _keep(world, request):
@@ -245,10 +261,17 @@
         if host.record.service == service
         and host.record.state == rows.HostState.READY
     ]
-    good = [host for host in hosts if host.avoid_until <= now]
+    good = [host for host in hosts if _is_good(world, host, now)]
     return good or hosts
 
 
+def _is_good(world, host, now):
+    if host.host_id == world.host_id:
+        # The row of this host may be old while the store is out of reach.
+        return admission.obstacle_to_all(world, now) is None
+    return host.avoid_until <= now
+
+
 def _choose(world, request, now):
     hosts = _usable(world, request.service, now)
     fresh = [host for host in hosts if host.host_id not in request.tried]
--- a/tests/meshnet.py
+++ b/tests/meshnet.py
@@ -293,7 +293,15 @@
         if world is not None:
             world.inbox.post(message)
 
-    def call(self, host_id, path, key=None, time_left_ms=1500, request_id=''):
+    def call(
+        self,
+        host_id,
+        path,
+        key=None,
+        time_left_ms=1500,
+        request_id='',
+        body=b'',
+    ):
         """Send a caller's request; return its number."""
         number = next(self._numbers)
         service = OTHER_SERVICE if path == '/' else SERVICE
@@ -310,7 +318,7 @@
         self.arrived[number] = self.now
         self.post(
             host_id,
-            messages.RequestArrived(number, head, b'', time_left_ms),
+            messages.RequestArrived(number, head, body, time_left_ms),
         )
         return number
 
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -243,6 +243,38 @@
         return Load(net, '/', 0.8, patience_ms=800)
 
 
+class TestFullOwnHost:
+    """Callers beside a backend server that cannot take their requests."""
+
+    def test_leaving_server_of_a_host_without_store(self):
+        """Guards against calls that stay with a leaving server."""
+        net = meshnet.deployment(others=3)
+        net.store.refuses = {'m0'}
+        net.backends['m0'].is_draining = True
+        net.run(4000)
+        numbers = [net.call('m0', '/', time_left_ms=800) for _ in range(6)]
+        net.run(1000)
+        assert all(
+            isinstance(net.outcomes[number], messages.Deliver)
+            for number in numbers
+        )
+
+    def test_large_body_goes_elsewhere(self):
+        """Guards against uploads refused while other hosts have room."""
+        net = meshnet.deployment(others=3)
+        numbers = [
+            net.call('m0', '/', time_left_ms=800, body=b'x' * 60_000)
+            for _ in range(18)
+        ]
+        net.run(1500)
+        delivered = [
+            number
+            for number in numbers
+            if isinstance(net.outcomes[number], messages.Deliver)
+        ]
+        assert len(delivered) == len(numbers)
+
+
 class TestCallsOfRequests:
     """Requests whose backend server calls another service."""
 
