Replay load patterns by a command, on a deployment in memory

The deployment that the tests of the mesh used is now part of the experiments (fleet, its store, backend servers and requests as modules of their own), so that policies can be compared without the bench and without tests: 'laburnumlatch replay' prints, for six loads at their worst, the share of callers answered in time with the policies before and in force.

--- a/laburnumlatch/cmdline.py
+++ b/laburnumlatch/cmdline.py
@@ -14,6 +14,7 @@
 from laburnumlatch.core import progress
 from laburnumlatch.core import store
 from laburnumlatch.experiments import bench
+from laburnumlatch.experiments import fleetload
 from laburnumlatch.experiments import workload
 from laburnumlatch.experiments import workreport
 from laburnumlatch.operators import inspection
@@ -252,6 +253,37 @@
         sys.stdout.write(f'{show(figures)}\n')
 
 
+@cappa.command(name='replay', help='Compare policies on loads at their worst.')
+@attrs.define
+class ReplayCommand:
+    """Replay load patterns on a deployment in memory."""
+
+    pattern: typing.Annotated[
+        str | None,
+        cappa.Arg(long='--pattern', help='one pattern; default all'),
+    ] = None
+    json: typing.Annotated[
+        bool,
+        cappa.Arg(long='--json', help='print JSON'),
+    ] = False
+
+    def __call__(self):
+        """Print the share of callers answered in time, before and now."""
+        known = fleetload.patterns()
+        names = [self.pattern] if self.pattern else list(known)
+        if self.pattern not in {None, *known}:
+            raise errors.InvalidInputError(
+                f'pattern {self.pattern!r}: expected one of {", ".join(known)}'
+            )
+        shown = progress.Progress(clock.MonotonicClock(), sys.stderr, 'replay')
+        figures = {}
+        for done, name in enumerate(names):
+            shown.report(done / len(names))
+            figures[name] = fleetload.compare(known[name])
+        show = report.to_json if self.json else fleetload.as_text
+        sys.stdout.write(show(figures))
+
+
 @cappa.command(name='bench', help='Measure slopes of cost.')
 @attrs.define
 class BenchCommand:
@@ -276,6 +308,7 @@
         | ExplainCommand
         | TraceCommand
         | WorkloadCommand
+        | ReplayCommand
         | BenchCommand
     ]
 
--- /dev/null
+++ b/laburnumlatch/experiments/fleet.py
@@ -0,0 +1,307 @@
+"""A deployment in memory: worlds, a store and backend servers on one clock.
+
+Messages take a fixed delay; parts can be cut, stopped, lost and started again.
+Every grant and every start of work is checked against the one-owner rule.
+"""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from laburnumlatch.core import storemsg
+from laburnumlatch.experiments import fleetbackend
+from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetstore
+from laburnumlatch.experiments import fleetwork
+from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import leasemsg
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import settings
+from laburnumlatch.mesh import ticks
+from laburnumlatch.mesh import world as worlds
+
+START_MS = 1_000_000
+SEED_BITS = 32
+STORE_MS = 4
+# A grant without an answer is given up after this time.
+KEPT_MS = 400
+# All hosts are known and all keys held by then.
+SETTLE_MS = 6000
+
+
+class Fleet:
+    """The hosts and what is under way between them."""
+
+    def __init__(
+        self,
+        hosts,
+        seed=1,
+        configuration=fleetconfig.CONFIGURATION,
+        policies=None,
+    ):
+        """`hosts` are (host_id, service, domain)."""
+        self.now = START_MS
+        self.rng = random.Random(seed)
+        self.store = fleetstore.Store()
+        self.configuration = configuration
+        self.worlds = {}
+        self.backends = {}
+        self.cut = set()
+        self.violations = []
+        self.early_takes = []
+        self.stopped = {}
+        self.loses_plans = 0
+        self.outcomes = {}
+        self.arrived = {}
+        self.ended = {}
+        self.policies = policies or {}
+        self.domains = {}
+        self._work = fleetwork.Work(self)
+        self._events = []
+        self._order = itertools.count()
+        self.numbers = itertools.count(1)
+        for host_id, service, domain in hosts:
+            self.domains[host_id] = domain
+            self.backends[host_id] = fleetbackend.Backend(
+                self, host_id, service
+            )
+            self.start(host_id)
+            self.later(
+                self.rng.randrange(fleetconfig.BEAT_MS), self._beat, host_id
+            )
+
+    def start(self, host_id):
+        """Start the agent of a host anew."""
+        backend = self.backends[host_id]
+        own = settings.Settings(
+            host_id=host_id,
+            domain=self.domains[host_id],
+            region='north',
+            service=backend.service,
+            backend_address=f'{host_id}:80',
+            caller_address=f'{host_id}:1',
+            ready_address=f'{host_id}:2',
+            control_address=f'{host_id}:3',
+            peer_address=host_id,
+            store_address='store:1',
+            memory_bytes=10**8,
+        )
+        world = worlds.create(own, self.rng.getrandbits(SEED_BITS), self.now)
+        self.worlds[host_id] = attrs.evolve(world, **self.policies)
+
+    def stop(self, host_id):
+        """End the agent of a host at once."""
+        self.worlds.pop(host_id, None)
+
+    def later(self, delay_ms, act, *arguments):
+        """Do something at a later time."""
+        heapq.heappush(
+            self._events,
+            (self.now + delay_ms, next(self._order), act, arguments),
+        )
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        until = self.now + duration_ms
+        while self.now < until:
+            self.now += fleetconfig.STEP_MS
+            while self._events and self._events[0][0] <= self.now:
+                _due, _order, act, arguments = heapq.heappop(self._events)
+                act(*arguments)
+            for host_id in tuple(self.worlds):
+                self._tick(host_id)
+
+    def post(self, host_id, message):
+        """Hand a message to the agent of a host, if it runs."""
+        world = self.worlds.get(host_id)
+        if world is not None:
+            world.inbox.post(message)
+
+    def call(
+        self,
+        host_id,
+        path,
+        key=None,
+        time_left_ms=fleetconfig.LOOK_TIMEOUT_MS,
+        request_id='',
+        body=b'',
+    ):
+        """Send a caller's request; return its number."""
+        number = next(self.numbers)
+        service = fleetconfig.OTHER_SERVICE
+        if path != '/':
+            service = fleetconfig.SERVICE
+        head = messages.Head(
+            method='GET',
+            target=f'{path}x',
+            host=f'{service}.example',
+            fields=(),
+            request_id=request_id or f'r{number}',
+            key=key,
+            caller_service=self.backends[host_id].service,
+        )
+        self.outcomes[number] = None
+        self.arrived[number] = self.now
+        self.post(
+            host_id,
+            messages.RequestArrived(number, head, body, time_left_ms),
+        )
+        return number
+
+    def check_owners(self):
+        """Note keys that two backend servers hold at the same time."""
+        held = [
+            (start, end, host_id)
+            for host_id, backend in self.backends.items()
+            for start, end, _fence in backend.held()
+        ]
+        for first, second in itertools.combinations(sorted(held), 2):
+            if second[0] <= first[1] and first[2] != second[2]:
+                self.violations.append((self.now, first, second))
+
+    def check_work(self, host_id, grant):
+        """Note keys that are granted while another server works on them."""
+        for other, backend in self.backends.items():
+            if other == host_id or not backend.is_up:
+                continue
+            self.early_takes.extend(
+                (self.now, host_id, other, key)
+                for key, _end in backend.running.values()
+                if key is not None and grant.start <= key <= grant.end
+            )
+
+    def owned(self):
+        """Return how many keys some backend server holds."""
+        return sum(
+            end - start + 1
+            for backend in self.backends.values()
+            for start, end, _fence in backend.held()
+        )
+
+    def planner(self):
+        """Return the hosts whose agents hold the planner role."""
+        return [
+            host_id
+            for host_id, world in self.worlds.items()
+            if world.role.is_held
+        ]
+
+    def is_cut(self, first, second):
+        """Tell whether two hosts cannot reach each other."""
+        return first in self.cut or second in self.cut
+
+    def _beat(self, host_id):
+        backend = self.backends[host_id]
+        if backend.is_up:
+            self.post(host_id, backend.announce())
+        self.later(fleetconfig.BEAT_MS, self._beat, host_id)
+
+    def _tick(self, host_id):
+        world = self.worlds[host_id]
+        is_due = world.next_wake is not None and world.next_wake <= self.now
+        if world.next_wake is None or is_due or len(world.inbox):
+            ticks.tick(world, self.now)
+            self._carry_out(host_id, world)
+
+    def _carry_out(self, host_id, world):
+        outbox = world.outbox
+        for kind in (
+            storemsg.StoreRead,
+            storemsg.StoreWatch,
+            storemsg.StorePut,
+        ):
+            for message in outbox.take(kind):
+                self.later(STORE_MS, self._ask_store, host_id, message)
+        self._configure(host_id, outbox)
+        for sent in outbox.take(leasemsg.SendDatagram):
+            if not self.is_cut(host_id, sent.address):
+                self.later(
+                    fleetconfig.LINK_MS, self.post, sent.address, sent.message
+                )
+        for give in outbox.take(backendmsg.GiveGrant):
+            self._grant(host_id, give)
+        for take in outbox.take(backendmsg.TakeBack):
+            self.later(1, self._release, host_id, take)
+        self._send_plans(host_id, outbox)
+        self._work.carry_out(host_id, outbox)
+        if outbox.take(messages.Stopped):
+            self.stopped[host_id] = self.now
+            self.stop(host_id)
+        outbox.clear()
+
+    def _configure(self, host_id, outbox):
+        for read in outbox.take(messages.ReadConfiguration):
+            answer = messages.ConfigurationRead(
+                read.ticket, (self.configuration,), 1
+            )
+            if host_id in self.store.refuses or self.store.is_down:
+                answer = storemsg.StoreFailed(read.ticket, 'refused')
+            self.later(STORE_MS, self.post, host_id, answer)
+
+    def _ask_store(self, host_id, message):
+        answer = self.store.answer(host_id, message)
+        if answer is None:
+            # A watch: asked again until there is something new.
+            self.later(STORE_MS, self._ask_store, host_id, message)
+        else:
+            self.post(host_id, answer)
+
+    def _send_plans(self, host_id, outbox):
+        for told in outbox.take(messages.SendPlan):
+            if self.loses_plans:
+                self.loses_plans -= 1
+            elif not self.is_cut(host_id, told.host_id):
+                self.later(
+                    fleetconfig.LINK_MS,
+                    self.post,
+                    told.host_id,
+                    messages.PlanTold(told.plan, told.row_version),
+                )
+
+    def _grant(self, host_id, give):
+        backend = self.backends[host_id]
+        is_accepted = None
+        if backend.is_up:
+            is_accepted = backend.grant(give)
+            if backend.loses_grant_answers:
+                is_accepted = None
+        delay_ms = KEPT_MS if is_accepted is None else 1
+        self.later(
+            delay_ms,
+            self.post,
+            host_id,
+            backendmsg.GrantAnswered(give.ticket, is_accepted),
+        )
+
+    def _release(self, host_id, take):
+        backend = self.backends[host_id]
+        if backend.is_up:
+            backend.release(take)
+        running = [
+            end
+            for key, end in backend.running.values()
+            if key is not None and take.start <= key <= take.end
+        ]
+        delay_ms = max([0, *(end - self.now for end in running)])
+        told = backendmsg.TakenBack(take.ticket, backend.is_up, 'token')
+        self.later(delay_ms + 1, self.post, host_id, told)
+
+
+def deployment(divided=4, others=2, seed=1, **policies):
+    """Return a started deployment of two services in three domains.
+
+    `policies` are fields of the worlds that replace the usual policies.
+    """
+    hosts = [
+        (f'b{number}', fleetconfig.SERVICE, f'd{number % 3}')
+        for number in range(divided)
+    ]
+    hosts += [
+        (f'm{number}', fleetconfig.OTHER_SERVICE, f'd{number % 3}')
+        for number in range(others)
+    ]
+    fleet = Fleet(hosts, seed, policies=policies)
+    fleet.run(SETTLE_MS)
+    return fleet
--- /dev/null
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -0,0 +1,104 @@
+"""A backend server of the deployment in memory."""
+
+from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import ranges
+
+WORK_MS = 100
+SLOTS = 6
+STATUS_OK = 200
+STATUS_ERROR = 500
+# A clock may run 2 % slow.
+SLOW_CLOCK_RATE = 0.98
+
+
+class Backend:
+    """A backend server: fenced grants by key range, and work that takes time.
+
+    `slow_clock` is the rate at which it measures holds, `calls` how many
+    requests to the other service each of its runs makes, `status` what it
+    answers.
+    """
+
+    def __init__(self, net, host_id, service, work_ms=WORK_MS):
+        """Serve `service` on a host of `net`, a `fleet.Fleet`."""
+        self.net = net
+        self.host_id = host_id
+        self.service = service
+        self.work_ms = work_ms
+        self.status = STATUS_OK
+        self.calls = 0
+        self.is_up = True
+        self.life = ranges.Life(f's-{host_id}', net.now)
+        self.grants = []
+        self.running = {}
+        self.sequence = 0
+        self.is_draining = False
+        self.slow_clock = SLOW_CLOCK_RATE
+        self.loses_grant_answers = False
+        self.started = []
+        self.handovers = []
+
+    def restart(self):
+        """Begin a new life that holds nothing."""
+        self.is_up = True
+        self.life = ranges.Life(f's-{self.host_id}', self.net.now)
+        self.grants = []
+        self.running = {}
+        self.sequence = 0
+        self.is_draining = False
+
+    def announce(self):
+        """Return the next announcement."""
+        self.sequence += 1
+        return backendmsg.BackendAnnounced(
+            ask=0,
+            life=self.life,
+            service=self.service,
+            address=f'{self.host_id}:80',
+            slots=SLOTS,
+            is_draining=self.is_draining,
+            sequence=self.sequence,
+        )
+
+    def held(self):
+        """Return the (start, end, fence) that are held now."""
+        return [
+            (start, end, fence)
+            for start, end, fence, until in self.grants
+            if self.is_up and until > self.net.now
+        ]
+
+    def fences(self):
+        """Return the fences under which keys are held now."""
+        return [held[2] for held in self.held()]
+
+    def grant(self, message):
+        """Take a grant; return whether it is accepted."""
+        for start, end, fence in self.held():
+            is_apart = end < message.start or message.end < start
+            if not is_apart and fence > message.fence:
+                return False
+        self.handovers.append(message.handover)
+        until = self.net.now + int(message.hold_ms / self.slow_clock)
+        self.release(message)
+        self.grants.append((message.start, message.end, message.fence, until))
+        self.net.check_work(self.host_id, message)
+        self.net.check_owners()
+        return True
+
+    def release(self, message):
+        """Give a range back."""
+        kept = []
+        for start, end, fence, until in self.grants:
+            if end < message.start or message.end < start:
+                kept.append((start, end, fence, until))
+                continue
+            if start < message.start:
+                kept.append((start, message.start - 1, fence, until))
+            if message.end < end:
+                kept.append((message.end + 1, end, fence, until))
+        self.grants = kept
+
+    def holds(self, key):
+        """Tell whether work on `key` may begin."""
+        return any(start <= key <= end for start, end, _fence in self.held())
--- /dev/null
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -0,0 +1,155 @@
+"""Requests of the deployment in memory: forwards, runs and answers."""
+
+from laburnumlatch.experiments import fleetbackend
+from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.mesh import messages
+
+# The time that a call of a running request may take.
+NESTED_MS = 600
+# A host that cannot be reached is noticed after this time.
+CONNECT_MS = 500
+
+
+class Work:
+    """What is under way between agents, and at backend servers."""
+
+    def __init__(self, fleet):
+        """Take the `fleet.Fleet` whose requests these are."""
+        self._fleet = fleet
+        self._forwards = {}
+
+    def carry_out(self, host_id, outbox):
+        """Carry out what the agent of a host says about requests."""
+        for sent in outbox.take(messages.SendForward):
+            self._fleet.later(fleetconfig.LINK_MS, self._forward, host_id, sent)
+        for send in outbox.take(messages.Send):
+            self._run(host_id, send)
+        for delivered in outbox.take(messages.Deliver):
+            self._end(delivered)
+        for refused in outbox.take(messages.Refuse):
+            self._end(refused)
+        for answered in outbox.take(messages.ReplyAnswer):
+            self._reply(
+                answered.number,
+                messages.ExchangeEnded,
+                answer=answered.answer,
+                wait_ms=answered.wait_ms,
+                work_ms=answered.work_ms,
+            )
+        for told in outbox.take(messages.ReplyRefusal):
+            self._reply(
+                told.number,
+                messages.ExchangeFailed,
+                phase=messages.Phase.REFUSED,
+                reason=told.reason,
+                verdict=told.verdict,
+                retry_after_ms=told.retry_after_ms,
+                wait_ms=told.wait_ms,
+            )
+
+    def _end(self, told):
+        self._fleet.outcomes[told.number] = told
+        self._fleet.ended[told.number] = self._fleet.now
+
+    def _forward(self, host_id, sent):
+        forward = sent.forward
+        if sent.host_id not in self._fleet.worlds or self._fleet.is_cut(
+            host_id, sent.host_id
+        ):
+            failed = messages.ExchangeFailed(
+                number=forward.number,
+                exchange=forward.exchange,
+                phase=messages.Phase.UNSENT,
+                reason=messages.Reason.UNREACHABLE,
+            )
+            self._fleet.later(CONNECT_MS, self._fleet.post, host_id, failed)
+            return
+        number = next(self._fleet.numbers)
+        self._forwards[number] = (host_id, forward.number, forward.exchange)
+        self._fleet.post(
+            sent.host_id, messages.ForwardArrived(number, host_id, forward)
+        )
+
+    def _reply(self, number, kind, **fields):
+        host_id, own_number, exchange = self._forwards.pop(number)
+        reply = kind(number=own_number, exchange=exchange, **fields)
+        self._fleet.later(fleetconfig.LINK_MS, self._fleet.post, host_id, reply)
+
+    def _run(self, host_id, send):
+        backend = self._fleet.backends[host_id]
+        key = send.head.key
+        if not backend.is_up:
+            self._fail(
+                host_id, send, messages.Phase.UNSENT, messages.Reason.BROKEN
+            )
+            return
+        if backend.service == fleetconfig.SERVICE and not backend.holds(key):
+            self._note_not_held(host_id, backend, key)
+            self._fail(
+                host_id, send, messages.Phase.REFUSED, messages.Reason.NOT_OWNER
+            )
+            return
+        end = self._fleet.now + backend.work_ms
+        backend.running[send.number] = (key, end)
+        backend.started.append((self._fleet.now, send.head.request_id))
+        act = self._call if backend.calls else self._finish
+        self._fleet.later(backend.work_ms, act, host_id, backend.life, send)
+
+    def _fail(self, host_id, send, phase, reason):
+        failed = messages.ExchangeFailed(
+            number=send.number,
+            exchange=send.exchange,
+            phase=phase,
+            reason=reason,
+        )
+        self._fleet.later(1, self._fleet.post, host_id, failed)
+
+    def _note_not_held(self, host_id, backend, key):
+        # The agent learns of a new life by its first announcement; only until
+        # then may it send work for keys that the life does not hold.
+        known_ms = fleetconfig.BEAT_MS + fleetconfig.LINK_MS
+        if self._fleet.now > backend.life.born + known_ms:
+            self._fleet.violations.append((
+                self._fleet.now,
+                host_id,
+                'not held',
+                key,
+            ))
+
+    def _call(self, host_id, life, send, made=0):
+        """Make the calls of a request one after another."""
+        backend = self._fleet.backends[host_id]
+        if made == backend.calls:
+            self._finish(host_id, life, send)
+            return
+        number = self._fleet.call(
+            host_id,
+            '/',
+            time_left_ms=NESTED_MS,
+            request_id=f'{send.head.request_id}.{made}',
+        )
+        self._follow_call(host_id, life, send, made, number)
+
+    def _follow_call(self, host_id, life, send, made, number):
+        outcome = self._fleet.outcomes[number]
+        if outcome is None:
+            following = (self._follow_call, host_id, life, send, made, number)
+            self._fleet.later(fleetconfig.STEP_MS, *following)
+        elif isinstance(outcome, messages.Deliver):
+            self._call(host_id, life, send, made + 1)
+        else:
+            self._finish(host_id, life, send, fleetbackend.STATUS_ERROR)
+
+    def _finish(self, host_id, life, send, status=None):
+        backend = self._fleet.backends[host_id]
+        if backend.life != life or not backend.is_up:
+            return
+        backend.running.pop(send.number, None)
+        self._fleet.post(
+            host_id,
+            messages.ExchangeEnded(
+                send.number,
+                send.exchange,
+                messages.Answer(status or backend.status, (), host_id.encode()),
+            ),
+        )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,10 +11,10 @@
 from laburnumlatch.core import linebound
 from laburnumlatch.core import linesink
 from laburnumlatch.core import logs
+from laburnumlatch.experiments import fleet
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.operators import tracing
-from tests import meshnet
 
 PART = 'requests'
 
@@ -142,7 +142,7 @@
 
     def test_failed_request_is_whole_and_good_one_is_short(self):
         """Guards against failures without the decisions that led there."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         lines = Lines()
         with handler_of(lines, clock.ManualClock()).applicationbound():
             good = net.call('m0', '/look/', 1)
--- a/tests/test_mesh_metrics.py
+++ b/tests/test_mesh_metrics.py
@@ -2,8 +2,8 @@
 
 from prometheus_client import parser
 
+from laburnumlatch.experiments import fleet
 from laburnumlatch.mesh import exposition
-from tests import meshnet
 
 
 def samples_of(world):
@@ -21,7 +21,7 @@
 
     def test_requests_keys_and_versions(self):
         """Guards against counters that stand still, and unreadable text."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         for key in range(0, 60_000, 6000):
             net.call('m0', '/look/', key)
         net.run(1000)
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -2,10 +2,11 @@
 
 import pytest
 
+from laburnumlatch.experiments import fleet
+from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
-from tests import meshnet
 
 # Lease, its margin, and the planner's steps.
 TAKEOVER_MS = leaserows.latest_end_ms() + 1500
@@ -23,17 +24,17 @@
 
     def test_all_keys_are_held_once(self):
         """Guards against gaps and overlaps of the first plan."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         assert net.owned() == ranges.KEY_COUNT
         assert not net.violations
 
     def test_one_agent_holds_the_role(self):
         """Guards against several planners after a race for the row."""
-        assert len(meshnet.deployment().planner()) == 1
+        assert len(fleet.deployment().planner()) == 1
 
     def test_request_for_each_key_is_served(self):
         """Guards against a plan that agents and backend servers read apart."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         numbers = [
             net.call('m0', '/look/', key)
             for key in range(0, ranges.KEY_COUNT, 3001)
@@ -47,7 +48,7 @@
 
     def test_keys_are_served_again(self):
         """Guards against keys that stay with a lost host."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         lost = next(one for one in ('b0', 'b1') if one not in net.planner())
         net.stop(lost)
         net.backends[lost].is_up = False
@@ -57,7 +58,7 @@
 
     def test_lost_planner_moves_no_keys_of_others(self):
         """Guards against leases that end because the planner is gone."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         lost = net.planner()[0]
         before = {
             host_id: sorted(backend.held())
@@ -75,7 +76,7 @@
     @pytest.mark.parametrize('seed', range(4))
     def test_planner_and_owner_lost_together(self, seed):
         """Guards against giving keys away while an old lease may live."""
-        net = meshnet.deployment(divided=6, others=3, seed=seed)
+        net = fleet.deployment(divided=6, others=3, seed=seed)
         lost = {net.planner()[0], 'b1'}
         for host_id in lost:
             net.stop(host_id)
@@ -90,7 +91,7 @@
 
     def test_cut_owner_lets_go_before_others_take(self):
         """Guards against two owners across a partition."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         cut = next(one for one in ('b0', 'b1') if one not in net.planner())
         net.cut.add(cut)
         net.store.refuses.add(cut)
@@ -105,7 +106,7 @@
 
     def test_cut_planner_gives_no_more_leases(self):
         """Guards against an old planner that goes on beside a new one."""
-        net = meshnet.deployment(divided=5, others=3)
+        net = fleet.deployment(divided=5, others=3)
         cut = net.planner()[0]
         net.cut.add(cut)
         net.store.refuses.add(cut)
@@ -123,7 +124,7 @@
 
     def test_owners_go_on_while_the_store_is_away(self):
         """Guards against leases that need the store."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.store.is_down = True
         for _ in range(9):
             net.run(1000)
@@ -140,7 +141,7 @@
         The lease counts only for who knows the newest plan. An agent that had
         missed it could not ask the store, and its keys ran out.
         """
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.loses_plans = 3
         net.backends['b3'].is_draining = True
         while net.loses_plans:
@@ -150,13 +151,13 @@
         served_hosts = [
             host_id
             for host_id, backend in net.backends.items()
-            if backend.service == meshnet.SERVICE and backend.held()
+            if backend.service == fleetconfig.SERVICE and backend.held()
         ]
         assert set(served_hosts) >= {'b0', 'b1', 'b2'}
 
     def test_role_leaves_a_planner_without_store(self):
         """Guards against plans that stand still while others can write."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         refused = net.planner()[0]
         net.store.refuses.add(refused)
         net.run(6000)
@@ -170,7 +171,7 @@
 
     def test_same_keys_under_the_same_fence(self):
         """Guards against keys that move because an agent restarted."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         host_id = next(one for one in ('b0', 'b1') if one not in net.planner())
         before = sorted(net.backends[host_id].held())
         net.stop(host_id)
@@ -182,7 +183,7 @@
 
     def test_all_agents_restart_at_once(self):
         """Guards against a deployment that waits for agents that are gone."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         for host_id in tuple(net.worlds):
             net.stop(host_id)
         net.run(700)
@@ -194,7 +195,7 @@
 
     def test_power_lost_everywhere(self):
         """Guards against state that lives only in agents."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         for host_id, backend in net.backends.items():
             net.stop(host_id)
             backend.is_up = False
@@ -208,7 +209,7 @@
 
     def test_new_life_of_a_backend_server_gets_a_higher_fence(self):
         """Guards against a fence that an earlier life has had."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         backend = net.backends['b1']
         before = max(backend.fences())
         backend.restart()
@@ -223,9 +224,9 @@
 
     def test_draining_server_holds_nothing_after_the_bound(self):
         """Guards against requests for a server that has left."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.backends['b2'].is_draining = True
-        net.run(meshnet.BEAT_MS + 2000)
+        net.run(fleetconfig.BEAT_MS + 2000)
         assert not net.backends['b2'].held()
         assert net.owned() == ranges.KEY_COUNT
         assert not net.violations
@@ -236,7 +237,7 @@
         Keys cannot move while the store is away, so requests go on arriving
         until the process ends.
         """
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.backends['b2'].work_ms = 900
         net.store.is_down = True
         key = net.backends['b2'].held()[0][0]
@@ -254,7 +255,7 @@
         Callers of a failure domain with most of its agents stopping go on
         sending to a stopping agent.
         """
-        net = meshnet.deployment()
+        net = fleet.deployment()
         for backend in net.backends.values():
             backend.work_ms = 600
         net.store.is_down = is_store_down
@@ -271,9 +272,9 @@
 
     def test_handover_token_goes_along(self):
         """Guards against planned moves that make keys cold."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.backends['b2'].is_draining = True
-        net.run(meshnet.BEAT_MS + 2000)
+        net.run(fleetconfig.BEAT_MS + 2000)
         tokens = {
             token
             for backend in net.backends.values()
@@ -287,7 +288,7 @@
 
     def test_move_waits_for_a_grant_that_may_live(self):
         """Guards against a release that a late grant undoes."""
-        net = meshnet.deployment()
+        net = fleet.deployment()
         net.backends['b2'].loses_grant_answers = True
         net.run(1500)
         net.backends['b2'].is_draining = True
@@ -306,12 +307,12 @@
         pieces moved under one fence, it no longer waited for the release of
         the second, and the new owner got keys that were still worked on.
         """
-        net = meshnet.deployment(divided=6, others=1)
+        net = fleet.deployment(divided=6, others=1)
         most = 0
         for _ in range(200):
             net.call('m0', '/look/', net.rng.randrange(6000))
             net.run(20)
-            plan = net.worlds['m0'].plan_of(meshnet.SERVICE)
+            plan = net.worlds['m0'].plan_of(fleetconfig.SERVICE)
             moving = [piece.fence for piece in plan.pieces if piece.former]
             most = max(most, len(moving))
             assert len(set(moving)) == len(moving)
@@ -319,7 +320,7 @@
 
     def test_owner_waits_for_each_release(self):
         """Guards against keys that are granted while their work still runs."""
-        net = meshnet.deployment(divided=3, others=1)
+        net = fleet.deployment(divided=3, others=1)
         for host_id in ('b0', 'b1', 'b2'):
             net.backends[host_id].work_ms = 700
         net.backends['b2'].restart()
