Log once when the store is lost, and once when it answers again

On-call engineers need one line for each lost and regained dependency; agents on the platform wrote one for each failed call only. The front end to the store now notes both for every agent, so that the slots agent needs no lines of its own.

--- a/laburnumlatch/core/storelink.py
+++ b/laburnumlatch/core/storelink.py
@@ -4,8 +4,11 @@
 
 from laburnumlatch.core import errors
 from laburnumlatch.core import frontends
+from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
 
+_log = logs.logger('store')
+
 
 class StoreLink(frontends.FrontEnd):
     """Carries out store messages, each in its own task of the loop."""
@@ -22,6 +25,7 @@
         super().__init__(post)
         self._store = store
         self._tasks = set()
+        self._is_lost = False
 
     async def start(self):
         """Open nothing: connections are made when they are needed."""
@@ -64,8 +68,18 @@
             answer = storemsg.StoreRefused(message.ticket)
         except errors.StoreError as error:
             answer = storemsg.StoreFailed(message.ticket, str(error))
+        self._note_store(answer)
         self._post(answer)
 
+    def _note_store(self, answer):
+        """Log when the store is lost, and when it answers again."""
+        has_failed = isinstance(answer, storemsg.StoreFailed)
+        if has_failed and not self._is_lost:
+            _log.warning('store-lost', call=answer.ticket, detail=answer.detail)
+        elif self._is_lost and not has_failed:
+            _log.info('store-regained', call=answer.ticket)
+        self._is_lost = has_failed
+
 
 def _read(message, changes):
     return storemsg.StoreChanges(message.ticket, changes.rows, changes.version)
--- a/laburnumlatch/slots/documents.py
+++ b/laburnumlatch/slots/documents.py
@@ -99,8 +99,6 @@
 
 def _take_in(world, scanned, now):
     reader = world.store_reader
-    if reader.failures:
-        _log.info('store-regained')
     reader.failures = 0
     for row in scanned.rows:
         kind, _, name = row.key.partition('/')
@@ -112,8 +110,6 @@
 
 def _back_off(world, failed, now):
     reader = world.store_reader
-    if not reader.failures:
-        _log.warning('store-lost', detail=failed.detail)
     reader.failures = min(reader.failures + 1, MAX_DOUBLINGS)
     _plan_next_read(world, now)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,10 +11,13 @@
 from laburnumlatch.core import linebound
 from laburnumlatch.core import linesink
 from laburnumlatch.core import logs
+from laburnumlatch.core import storelink
+from laburnumlatch.core import storemsg
 from laburnumlatch.experiments import fleet
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
 from laburnumlatch.operators import tracing
+from tests import stores
 
 PART = 'requests'
 
@@ -213,3 +216,22 @@
         text = tracing.as_text(found)
         assert re.search(r'\+100ms h2.log:sidecar-1 3.2 \| queue-full', text)
         assert '4 of 7 lines' in text
+
+
+class TestStoreLink:
+    """What the log says of the store."""
+
+    async def test_one_line_when_lost_and_regained(self):
+        """Guards against a flood of lines, or none, in an outage."""
+        lines = Lines()
+        answers = []
+        store = stores.MemoryStore()
+        link = storelink.StoreLink(answers.append, store)
+        with handler_of(lines).applicationbound():
+            for is_away in (False, True, True, False, False):
+                store.down = is_away
+                link.carry_out(storemsg.StoreRead('members/scan', 'mesh/'))
+                await asyncio.sleep(0.01)
+        events = [tracing.parse(line, '').event for line in lines.written]
+        assert events == ['store-lost', 'store-regained']
+        assert len(answers) == 5
