Give repeats a connection of their own; drop one with a strange answer

The request ran from 15.856 to 16.002 s, was sent again by the same agent at 16.040 s, and 3 ms later, long before that run began, its caller was given a success with another body. Backend servers may send an answer twice, late and with wrong bytes. It bears the ID of its request, so the ID does not tell an answer to the first send from one to the second on the same connection.

- A repeated request gets a new connection, as work that must not repeat does.
The owner knows repeats by the number of the sender's exchange.
- An answer whose ID is another request's ends the transfer at its header, and with it the connection; before, the connection went back to the pool with the true answer still on its way.

Ruled out: a body cut on the way (the length is checked), and two answers mixed up between agents (frames carry the numbers of request and exchange).

--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -47,6 +47,6 @@
             head=request.head,
             body=request.body,
             time_left_ms=request.deadline - now,
-            fresh_connection=not request.is_safe,
+            fresh_connection=not request.is_safe or request.is_repeat,
         )
     )
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -200,6 +200,7 @@
         caller_deadline=now + forward.time_left_ms,
         target_ms=forward.target_ms,
         sender=forwarded.sender,
+        sender_exchange=forward.exchange,
         route=forward.route,
         is_nested=forward.is_nested,
     )
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -125,7 +125,8 @@
 
     Times are of the agent's clock in ms. `exchange` numbers the attempts to
     pass the request on; events of an older one are ignored. `sender` is the
-    host that forwarded it here, empty for a caller's own request. `sends`
+    host that forwarded it here, empty for a caller's own request;
+    `sender_exchange` is the number of the exchange there. `sends`
     counts exchanges in which a backend server may have got the request;
     `may_have_run` tells that one of them may have run it. `is_nested` tells
     that a request which runs at a backend server waits for this one;
@@ -150,6 +151,7 @@
     state: RequestState = RequestState.PARKED
     host_id: str = ''
     exchange: int = 0
+    sender_exchange: int = 0
     started: int = 0
     sends: int = 0
     waits: int = 0
@@ -168,6 +170,15 @@
         """Whether the request may run more than once."""
         return self.kind == routes.Kind.SAFE
 
+    @property
+    def is_repeat(self):
+        """Whether an earlier exchange of this request may have begun work.
+
+        An answer to that one bears the same ID, and must not be taken for
+        the answer to this one.
+        """
+        return self.sender_exchange > 1 or self.exchange > 1
+
     @property
     def request_id(self):
         """The caller's ID of the request."""
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -24,6 +24,9 @@
 RELEASE_TIMEOUT_MS = 6000
 MAX_CLIENTS = 96
 FAILED = 599
+# Any number but that of the bytes taken makes libcurl end the transfer.
+BREAK_OFF = -1
+OTHER_REQUEST = 'the answer belongs to another request'
 STATUS_OK = 200
 # Statuses of one kind share their hundreds.
 SUCCESS_UNIT = 100
@@ -36,6 +39,21 @@
 _log = logs.logger('backend')
 
 
+class _CheckingClient(curlclient.StreamingCurlClient):
+    """Breaks off answers that are refused by their header fields.
+
+    Here the `header_callback` of a request takes all fields at their end, and
+    returns whether the answer may go on. A connection that is broken off is
+    closed, so that what else is on its way cannot meet the next request.
+    """
+
+    def _curl_header_callback(self, headers, header_callback, header_line):
+        super()._curl_header_callback(headers, None, header_line)
+        if header_line.strip() or header_callback is None:
+            return None
+        return None if header_callback(headers) else BREAK_OFF
+
+
 class BackendClient(frontends.FrontEnd):
     """Talks to the one backend server beside this agent."""
 
@@ -49,7 +67,7 @@
     def __init__(self, post):
         """Open nothing until there is something to send."""
         super().__init__(post)
-        self._client = curlclient.StreamingCurlClient(
+        self._client = _CheckingClient(
             force_instance=True, max_clients=MAX_CLIENTS
         )
         self._exchanges = {}
@@ -153,6 +171,7 @@
         self._post_end = ended
         self._curl = None
         self._is_done = False
+        self._problem_found = ''
 
     def start(self):
         """Begin to send."""
@@ -171,6 +190,7 @@
             max_redirects=0,
             decompress_response=False,
             prepare_curl_callback=self._prepare,
+            header_callback=self._is_own,
         )
         self._client.fetch_impl(request, self._finished)
 
@@ -216,6 +236,13 @@
         curl.setopt(pycurl.FRESH_CONNECT, is_fresh)
         curl.setopt(pycurl.FORBID_REUSE, is_fresh)
 
+    def _is_own(self, fields):
+        """Tell whether the fields of an answer are those of this request."""
+        told_id = fields.get(wire.REQUEST_ID)
+        if told_id not in {None, self._message.head.request_id}:
+            self._problem_found = OTHER_REQUEST
+        return not self._problem_found
+
     def _finished(self, response):
         if self._is_done:
             return
@@ -228,7 +255,9 @@
             if not self._curl or not self._curl.getinfo(pycurl.REQUEST_SIZE):
                 phase = messages.Phase.UNSENT
             return self._failure(
-                phase, messages.Reason.BROKEN, str(response.error)
+                phase,
+                messages.Reason.BROKEN,
+                self._problem_found or str(response.error),
             )
         fields = response.headers
         if wire.NOT_RUN in fields and response.code != STATUS_NOT_ASKED:
@@ -260,11 +289,9 @@
     def _problem(self, response):
         """Return why the answer cannot be this request's, or nothing."""
         fields = response.headers
-        told_id = fields.get(wire.REQUEST_ID)
-        if told_id is not None and told_id != self._message.head.request_id:
-            return 'the answer belongs to another request'
         is_success = response.code // SUCCESS_UNIT * SUCCESS_UNIT == STATUS_OK
-        if is_success and (wire.SEAL not in fields or told_id is None):
+        is_proven = wire.SEAL in fields and wire.REQUEST_ID in fields
+        if is_success and not is_proven:
             return 'a success without its proof'
         if is_success and 'Content-Encoding' in fields:
             return 'an encoded body'
