--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -72,18 +72,26 @@
         )
         self._exchanges = {}
         self._tasks = set()
+        self._is_closed = False
 
     async def start(self):
         """Open nothing: connections are made when they are needed."""
 
     async def stop(self):
         """Close all connections."""
+        self._is_closed = True
         for task in self._tasks:
             task.cancel()
         self._client.close()
 
     def carry_out(self, message):
-        """Send a request, a grant or a release, or stop a request."""
+        """Send a request, a grant or a release, or stop a request.
+
+        Once stopped, nothing is sent any more: the process ends.
+        """
+        if self._is_closed:
+            _log.warning('message-after-stop', kind=type(message).__name__)
+            return
         if isinstance(message, messages.Send):
             exchange = _Exchange(self._client, message, self._ended)
             self._exchanges[message.number, message.exchange] = exchange
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -80,3 +80,16 @@
             assert ended.answer.status == 200
         assert server.connections == 1
         await client.stop()
+
+
+class TestStop:
+    """The end of the process."""
+
+    async def test_message_after_stop_is_no_error(self):
+        """Guards against a last tick that fails halfway."""
+        client = backendclient.BackendClient(print)
+        await client.stop()
+        head = messages.Head('GET', '/x', 'h.example', (), 'r1')
+        client.carry_out(
+            messages.Send(1, 1, '127.0.0.1:9', 'i', head, b'', 100, True)
+        )
