Tell callers 'not-run' for reads that never started at a stopping agent

Cause, from the agents' logs of 8 failed runs beside 8 busy processes: - owner and ingress decide at the same deadline, so the owner's 'not-run' was 33 ms on its way when the ingress said 'unknown'; - a read that waited 300 ms at an owner (cold server with one slot, or a slot being released) was taken for lost by its ingress and repeated, after which nobody could say that it had not run; - an owner that heard nothing from its server for half of the time refused a forwarded read as 'unknown' instead of repeating it; - attempts began with less than 50 ms left and could not end. Ruled out: work that was cut off by the stopping agent itself; no logged case was running there.

--- a/laburnumlatch/slots/deadlines.py
+++ b/laburnumlatch/slots/deadlines.py
@@ -13,6 +13,14 @@
 # four for a retry by the ingress. With equal parts both retried at once.
 OWNER_DIVISOR = 2
 INGRESS_DIVISOR = 4
+# A forwarded read that has not started by this share of its time is refused.
+# Its ingress would soon take the owner for lost and repeat the read, and then
+# nobody could tell that it has not run.
+QUEUED_SHARE = 0.6
+# The owner decides at the deadline as well, and its refusal reached the
+# ingress up to 110 ms later on a busy machine. Without this wait the caller
+# of a request that was never run is told that it may have run.
+VERDICT_GRACE_MS = 250
 
 _NOT_SENT = frozenset((
     rows.RequestState.QUEUED,
@@ -29,7 +37,7 @@
     for number in world.deadlines.pop_due(now):
         request = world.requests.get(number)
         if request is not None:
-            _expire(world, request)
+            _expire(world, request, now)
     for number, exchange in world.silences.pop_due(now):
         request = world.requests.get(number)
         if _is_silent(request, exchange):
@@ -59,6 +67,14 @@
         world.wake_at(now + wait_ms)
 
 
+def watch_queue(world, request, now):
+    """Limit how long a read that has been forwarded here waits for a slot."""
+    if request.repeatable and request.forwarded_from:
+        wait_ms = int((request.deadline - now) * QUEUED_SHARE)
+        world.deadlines.push(now + wait_ms, request.number)
+        world.wake_at(now + wait_ms)
+
+
 def _is_silent(request, exchange):
     return (
         request is not None
@@ -68,24 +84,37 @@
 
 
 def _retry(world, request, now):
+    backoff_ms = retries.longest_backoff_ms(request.waits)
+    if now + backoff_ms + requests.MIN_ATTEMPT_MS >= request.deadline:
+        # The answer or refusal that is due tells the caller more.
+        return
     if not retries.take(world, now):
         return
     world.outbox.post(requestmsg.Cancel(request.number, request.exchange))
     requests.suspect(request)
-    requests.park(world, request, requestmsg.Reason.BROKEN)
+    requests.try_again(world, request, requestmsg.Reason.BROKEN)
 
 
-def _expire(world, request):
-    reason = requestmsg.Reason.DEADLINE
+def _expire(world, request, now):
     if request.state in _NOT_SENT:
+        reason = requestmsg.Reason.DEADLINE
         if request.state == rows.RequestState.PARKED:
             reason = request.last_reason
         requests.refuse(world, request, reason, requests.RETRY_AFTER_MS)
-    elif request.state == rows.RequestState.RELAYING:
+    elif now >= request.deadline:
+        # What started before `watch_queue` was due has its full time.
+        _expire_sent(world, request, now)
+
+
+def _expire_sent(world, request, now):
+    verdict_due = request.deadline + VERDICT_GRACE_MS
+    if request.state == rows.RequestState.RELAYING:
         requests.cut_off(world, request)
+    elif request.state == rows.RequestState.FORWARDED and now < verdict_due:
+        world.deadlines.push(verdict_due, request.number)
     else:
         if request.exchange:
             world.outbox.post(
                 requestmsg.Cancel(request.number, request.exchange),
             )
-        requests.give_up(world, request, reason)
+        requests.give_up(world, request, requestmsg.Reason.DEADLINE)
--- a/laburnumlatch/slots/dispatch.py
+++ b/laburnumlatch/slots/dispatch.py
@@ -22,6 +22,10 @@
         if server.running >= admission.limit(server, now):
             return
         if ownership.is_releasing(world, request.service, request.slot):
+            if request.repeatable:
+                # It would wait here until its ingress gives this host up, and
+                # then nobody could tell that it has not run.
+                requests.park(world, request, requestmsg.Reason.NOT_OWNER)
             continue
         if _may_start(world, request, now):
             _start(world, request, server, now)
--- a/laburnumlatch/slots/requests.py
+++ b/laburnumlatch/slots/requests.py
@@ -11,6 +11,9 @@
 # Each may hold 128 KB of a body, so together at most 64 MB.
 MAX_PARKED = 512
 RETRY_AFTER_MS = 500
+# An attempt that begins with less time left than this mostly ends in doubt:
+# the hop to the owner and short work take about as long.
+MIN_ATTEMPT_MS = 50
 
 _log = logs.logger('requests')
 
@@ -51,16 +54,25 @@
 def park(world, request, reason, owner=''):
     """Let the request wait for an owner, and place it again after a while.
 
-    It is refused if it has been forwarded here, if it would wait beyond its
-    deadline, or if too many wait.
+    It is refused if it has been forwarded here: its ingress knows where to
+    place it.
+    """
+    if request.forwarded_from:
+        refuse(world, request, reason, RETRY_AFTER_MS, owner)
+    else:
+        try_again(world, request, reason, owner)
+
+
+def try_again(world, request, reason, owner=''):
+    """Place the request again after a while, also one forwarded here.
+
+    It is refused if too little time would be left for another attempt, or if
+    too many wait.
     """
     release(world, request)
     due = world.now + retries.backoff_ms(world, request.waits)
-    if (
-        request.forwarded_from
-        or due >= request.deadline
-        or len(world.parked) >= MAX_PARKED
-    ):
+    is_late = due + MIN_ATTEMPT_MS >= request.deadline
+    if is_late or len(world.parked) >= MAX_PARKED:
         refuse(world, request, reason, RETRY_AFTER_MS, owner)
         return
     logs.decision(_log, request, owner or '-', f'wait {reason}')
--- a/laburnumlatch/slots/retries.py
+++ b/laburnumlatch/slots/retries.py
@@ -38,11 +38,16 @@
     often fails alone. The random half of later waits keeps requests that
     failed together from returning together.
     """
+    longest = longest_backoff_ms(waits)
+    return world.rng.randint(longest // 2, longest)
+
+
+def longest_backoff_ms(waits):
+    """Return the most that `backoff_ms` may be, in ms."""
     if not waits:
         return 0
     longest = FIRST_BACKOFF_MS * 2 ** min(waits - 1, MAX_DOUBLINGS)
-    longest = min(longest, MAX_BACKOFF_MS)
-    return world.rng.randint(longest // 2, longest)
+    return min(longest, MAX_BACKOFF_MS)
 
 
 def _window(world, now):
--- a/laburnumlatch/slots/routing.py
+++ b/laburnumlatch/slots/routing.py
@@ -75,6 +75,7 @@
         requests.refuse(world, request, requestmsg.Reason.TOO_LATE)
         return None
     world.deadlines.push(request.deadline, request.number)
+    deadlines.watch_queue(world, request, now)
     return request
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -159,6 +159,63 @@
         worlds.tick(ingress, worlds.START + 300)
         assert ingress.outbox.take(requestmsg.Cancel)
 
+    def test_owner_repeats_a_forwarded_read_itself(self, owner):
+        # Its ingress was told 'unknown' at half of the deadline.
+        worlds.tick(
+            owner,
+            worlds.START,
+            arrived(body_bytes=0, forwarded_from='bokun-9'),
+        )
+        owner.outbox.clear()
+        worlds.tick(owner, worlds.START + 200)
+        (send,) = owner.outbox.take(requestmsg.Send)
+        assert send.fresh_connection
+        assert not owner.outbox.take(requestmsg.Refuse)
+
+    def test_no_attempt_without_time_for_it(self, owner):
+        # A read was repeated in its last 30 ms and then told 'unknown'.
+        worlds.tick(owner, worlds.START, arrived(body_bytes=0, time_left_ms=90))
+        owner.outbox.clear()
+        worlds.tick(owner, worlds.START + 46)
+        assert not owner.outbox.take(requestmsg.Cancel)
+
+    def test_queued_read_is_refused_before_its_ingress_repeats_it(self, owner):
+        # After the repeat nobody could tell that it had not run.
+        worlds.tick(
+            owner,
+            worlds.START,
+            *(
+                arrived(number, body_bytes=0, forwarded_from='bokun-9')
+                for number in range(1, 4)
+            ),
+        )
+        worlds.tick(owner, worlds.START + 240)
+        (refusal,) = owner.outbox.take(requestmsg.Refuse)
+        assert (refusal.number, refusal.outcome) == (
+            3,
+            requestmsg.Outcome.NOT_RUN,
+        )
+
+    def test_refusal_on_its_way_at_the_deadline_is_passed_on(self, ingress):
+        # The caller of a request that was never run was told 'unknown'.
+        worlds.tick(ingress, worlds.START, arrived())
+        worlds.tick(ingress, worlds.START + 400)
+        assert not ingress.outbox.take(requestmsg.Refuse)
+        verdict = requestmsg.AnswerBegan(
+            1, 1, requestmsg.Outcome.NOT_RUN, requestmsg.Reason.DEADLINE
+        )
+        worlds.tick(ingress, worlds.START + 440, verdict)
+        (refusal,) = ingress.outbox.take(requestmsg.Refuse)
+        assert refusal.outcome == requestmsg.Outcome.NOT_RUN
+
+    def test_silent_owner_leaves_the_outcome_unknown(self, ingress):
+        worlds.tick(ingress, worlds.START, arrived())
+        worlds.tick(ingress, worlds.START + 400)
+        worlds.tick(ingress, worlds.START + 650)
+        (refusal,) = ingress.outbox.take(requestmsg.Refuse)
+        assert refusal.outcome == requestmsg.Outcome.UNKNOWN
+        assert not len(ingress.requests)
+
 
 class TestBackoff:
     """A retry at the host that sheds, or too early, adds to the overload."""
