Take a write that the store turned down as not done, and try lost hosts less

The store now says so (`errors.CallRejectedError`), and the write is made again after 400 ms; so is a renewal of the role.

Cause 2: a host that cannot be reached was avoided for one second at a time, and then tried by every request until the first of them failed. Now one request tries it, and the pause doubles up to 4 s.

--- a/laburnumlatch/core/errors.py
+++ b/laburnumlatch/core/errors.py
@@ -34,6 +34,10 @@
     """No answer from the store; a write may have taken effect."""
 
 
+class CallRejectedError(StoreUnavailableError):
+    """The store turned the call down and did nothing."""
+
+
 class WriteInDoubtError(StoreUnavailableError):
     """No answer to a write, and reading back did not settle it."""
 
--- a/laburnumlatch/core/store.py
+++ b/laburnumlatch/core/store.py
@@ -35,7 +35,8 @@
     """Rows with versions. Versions of all rows come from one sequence.
 
     All methods raise `errors.StoreUnavailableError` if no answer came; a
-    write may then have taken effect.
+    write may then have taken effect. `errors.CallRejectedError`, which is one
+    of them, says that it has not and will not.
     """
 
     @abc.abstractmethod
--- a/laburnumlatch/core/storelink.py
+++ b/laburnumlatch/core/storelink.py
@@ -67,7 +67,11 @@
         except errors.VersionConflictError:
             answer = storemsg.StoreRefused(message.ticket)
         except errors.StoreError as error:
-            answer = storemsg.StoreFailed(message.ticket, str(error))
+            answer = storemsg.StoreFailed(
+                message.ticket,
+                str(error),
+                isinstance(error, errors.CallRejectedError),
+            )
         self._note_store(answer)
         self._post(answer)
 
--- a/laburnumlatch/core/storemsg.py
+++ b/laburnumlatch/core/storemsg.py
@@ -100,7 +100,12 @@
 
 @attrs.define(frozen=True)
 class StoreFailed:
-    """No answer; a write may have taken effect."""
+    """The call brought no result.
+
+    A write may have taken effect, or may do so later, unless the store said
+    that it did nothing: then `is_rejected` is true.
+    """
 
     ticket: str
     detail: str
+    is_rejected: bool = False
--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -4,7 +4,10 @@
 
 
 class Store:
-    """Rows with versions; calls of cut hosts are refused."""
+    """Rows with versions; calls of cut hosts have no answer.
+
+    The next `rejects` writes of a key are turned down by saying so.
+    """
 
     def __init__(self):
         """Start without rows."""
@@ -12,6 +15,7 @@
         self.version = 0
         self.refuses = set()
         self.is_down = False
+        self.rejects = {}
         self.writes = 0
 
     def answer(self, host_id, message):
@@ -19,6 +23,10 @@
         if self.is_down or host_id in self.refuses:
             return storemsg.StoreFailed(message.ticket, 'refused')
         if isinstance(message, storemsg.StorePut):
+            if self._is_rejected(message.key):
+                return storemsg.StoreFailed(
+                    message.ticket, 'status 503', is_rejected=True
+                )
             return self._put(message)
         after = getattr(message, 'after', 0)
         rows = self.newer(message.table, after)
@@ -35,6 +43,11 @@
         ]
         return tuple(sorted(found, key=lambda row: row.version))
 
+    def _is_rejected(self, key):
+        left = self.rejects.get(key, 0)
+        self.rejects[key] = max(0, left - 1)
+        return left > 0
+
     def _put(self, message):
         wanted = [(message.key, message.expected_version), *message.guards]
         for key, version in wanted:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -170,6 +170,7 @@
             )
         if known.record.life != record.life:
             known.avoid_until = 0
+            known.failures = 0
         known.record = record
         known.version = version
 
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -14,7 +14,11 @@
 # is down; it is tried again after `TRIAL_MS`.
 DOWN_FAILURES = 2
 TRIAL_MS = 500
+# A host that could not be reached is avoided for this time, then tried with
+# one request, and avoided for twice as long after each try in vain: a try
+# costs up to the connect timeout, and the row of a lost host stays.
 AVOID_MS = 1000
+MAX_AVOID_MS = 4000
 # An agent that could not be reached is likely to be starting again.
 UNREACHABLE_RETRY_MS = 600
 # Less time than this is not worth another try.
@@ -144,8 +148,7 @@
     if host is None:
         return
     if failed.verdict is None:
-        host.failures += 1
-        host.avoid_until = now + AVOID_MS
+        _avoid(host, request, now)
     else:
         _heard(world, request.host_id, failed.wait_ms, now)
         if failed.reason in {
@@ -155,12 +158,23 @@
             host.avoid_until = now + AVOID_MS // 2
 
 
+def _avoid(host, request, now):
+    if host.failures and request.started <= host.failed_at:
+        # Requests that were under way together count as one failure.
+        return
+    host.avoid_until = now + min(AVOID_MS * 2**host.failures, MAX_AVOID_MS)
+    host.failed_at = now
+    host.failures += 1
+
+
 def _heard(world, host_id, wait_ms, now):
     host = world.hosts.get(host_id)
     if host is not None and wait_ms is not None:
         host.wait_ms = wait_ms
         host.reported = now
-        host.failures = 0
+        if host.failures:
+            host.failures = 0
+            host.avoid_until = now
 
 
 def _place_elsewhere(world, request, failed, now):
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -16,6 +16,9 @@
 DEFAULT_TIME_MS = 30_000
 DEFAULT_TARGET_MS = 1000
 NOT_READY_RETRY_MS = 500
+# While one request tries a host that could not be reached, others avoid it
+# for this time: longer than a connection may take.
+TRIAL_MS = 1000
 
 _log = logs.logger('requests')
 
@@ -293,6 +296,9 @@
     request.exchange += 1
     request.started = now
     host.in_flight += 1
+    if host.failures:
+        # Others wait for what becomes of this one.
+        host.avoid_until = max(host.avoid_until, now + TRIAL_MS)
     counting.count(world, 'requests_forwarded', service=request.service)
     decisions.note(
         world,
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -18,6 +18,8 @@
 PLAN_MS = 200
 # Load moves only this often: a move takes about a request's time.
 BALANCE_MS = 1000
+# A write that the store turned down is made again after this time.
+REJECTED_MS = 400
 # Hosts that start together are known by then.
 FIRST_PLAN_MS = 1500
 # Load counts decay to a half in this time: short enough to follow a key that
@@ -70,13 +72,22 @@
         _log.warning(
             'store-call-failed', call=failed.ticket, detail=failed.detail
         )
-        write = world.plan_writes.get(failed.ticket)
-        if write is not None:
-            write.failed = now
+        _write_failed(world, failed, now)
     for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
         _take_read(world, read)
 
 
+def _write_failed(world, failed, now):
+    write = world.plan_writes.get(failed.ticket)
+    if write is None:
+        return
+    if failed.is_rejected:
+        world.plan_writes.pop(failed.ticket)
+        world.timers.put('planner/plan', now + REJECTED_MS)
+    else:
+        write.failed = now
+
+
 def _tell_all(world, plan, row_version):
     """Send a new plan to all agents: a watch of each would cost a call."""
     for host in members.live_hosts(world):
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -19,6 +19,8 @@
 # A call to the store without an answer counts as failed after this time.
 CALL_MS = 1000
 READ_MS = 400
+# A renewal that the store turned down is made again after this time.
+REJECTED_MS = 400
 # The role is taken from a holder whose row has not changed for this time.
 UNCHANGED_MS = 1600
 # An agent that has heard nothing from the planner for this time looks at the
@@ -106,6 +108,8 @@
         )
         world.role.pending = ''
         world.role.has_store = False
+        if failed.is_rejected and world.role.is_held:
+            world.timers.put(RENEW_TICKET, now + REJECTED_MS)
 
 
 def _read(world, read, now):
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -52,7 +52,8 @@
     requests since. `work_ms` is what requests of a route usually take there,
     as reported with answers. `failed_rate` is the moving share of answers
     that told of a failure. Until `avoid_until` the host is used only if no
-    other is left.
+    other is left. `failures` counts tries in a row that did not reach it, the
+    last of them at `failed_at`.
     """
 
     record: HostRecord
@@ -64,6 +65,7 @@
     work_ms: dict[str, int] = attrs.Factory(dict)
     avoid_until: int = 0
     failures: int = 0
+    failed_at: int = 0
 
     @property
     def host_id(self):
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -25,6 +25,8 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 412
 STATUS_GONE = 410
+# The store answers so above its rates, and while it refuses a machine.
+REJECTED_STATUSES = frozenset((429, 503))
 MAX_CLIENTS = 12
 
 
@@ -138,6 +140,8 @@
         raise errors.VersionConflictError(response.body.decode())
     if response.code == STATUS_GONE:
         raise errors.HistoryGoneError('history is gone')
+    if response.code in REJECTED_STATUSES:
+        raise errors.CallRejectedError(f'status {response.code}')
     if response.code != STATUS_OK:
         raise errors.StoreUnavailableError(f'status {response.code}')
     try:
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -6,6 +6,7 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import ranges
 
 # Lease, its margin, and the planner's steps.
@@ -13,6 +14,9 @@
 # A planner that is lost with an owner: see `role.former_planners_end`.
 DOUBLE_LOSS_MS = TAKEOVER_MS + 6000
 
+# Two rejected writes, the planner's step before each, and the handover.
+REJECTED_WRITES_MS = 2 * planner.REJECTED_MS + 3 * planner.PLAN_MS
+
 
 def served(net, number):
     """Tell whether a request was answered."""
@@ -155,6 +159,25 @@
         ]
         assert set(served_hosts) >= {'b0', 'b1', 'b2'}
 
+    def test_rejected_plan_write_delays_a_move_little(self):
+        """Guards against a rejected write that is taken for one in doubt.
+
+        The planner then reads the plans again after the next renewal of its
+        role, while keys of a leaving server wait.
+        """
+        net = fleet.deployment()
+        leaving = next(one for one in ('b2', 'b3') if one not in net.planner())
+        net.store.rejects['plans/bokun'] = 2
+        net.backends[leaving].is_draining = True
+        net.run(fleetconfig.BEAT_MS)
+        waited_ms = 0
+        while net.backends[leaving].held() and waited_ms < 8000:
+            net.run(50)
+            waited_ms += 50
+        assert waited_ms <= REJECTED_WRITES_MS
+        assert net.owned() == ranges.KEY_COUNT
+        assert not net.violations
+
     def test_role_leaves_a_planner_without_store(self):
         """Guards against plans that stand still while others can write."""
         net = fleet.deployment()
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -3,10 +3,15 @@
 import pytest
 
 from laburnumlatch.experiments import fleet
+from laburnumlatch.experiments import fleetwork
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import outcomes
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import ticks
 
+STEP_MS = 50
+CALLS = 400
+
 
 def sent_for(kind, exchange):
     """Return the `Send` for a forwarded request."""
@@ -45,3 +50,43 @@
     def test_repeat_has_a_connection_of_its_own(self, kind, exchange, is_fresh):
         """Guards against a late answer to the first send of a request."""
         assert sent_for(kind, exchange).fresh_connection == is_fresh
+
+
+class TestLostHost:
+    """A host that is gone, and whose row of the store stays."""
+
+    def test_few_requests_try_it(self):
+        """Guards against a second of every few that waits for a connection."""
+        net = fleet.deployment(others=4)
+        net.stop('m3')
+        net.backends['m3'].is_up = False
+        numbers = []
+        for _ in range(CALLS):
+            numbers.append(net.call('m0', '/', time_left_ms=1500))
+            net.run(STEP_MS)
+        net.run(2000)
+        late = [
+            number
+            for number in numbers
+            if net.ended[number] - net.arrived[number] >= fleetwork.CONNECT_MS
+        ]
+        # Those sent before the first failure is known, then one a pause.
+        first = fleetwork.CONNECT_MS // STEP_MS
+        pauses = CALLS * STEP_MS // outcomes.MAX_AVOID_MS + 2
+        assert len(late) <= first + pauses
+
+    def test_returned_host_serves_again(self):
+        """Guards against a host that is avoided although it has returned."""
+        net = fleet.deployment(others=2)
+        # Host b1 prefers m1, which is in its failure domain.
+        net.cut.add('m1')
+        for _ in range(200):
+            net.call('b1', '/', time_left_ms=1500)
+            net.run(STEP_MS)
+        net.cut.clear()
+        net.run(outcomes.MAX_AVOID_MS)
+        before = len(net.backends['m1'].started)
+        for _ in range(100):
+            net.call('b1', '/', time_left_ms=1500)
+            net.run(STEP_MS)
+        assert len(net.backends['m1'].started) > before + 10
