Open throttles faster, and let throttled callers return sooner

Cause: a route that was throttled while the called service recovered from a power loss got 0.02 of its requests back each 250 ms, so 12 s after the service had room again lookups were still refused. A refused caller was told to return after one second, by when its target had passed; under a share it has the same chance at any time.

Change: 0.05 each 250 ms, and 250 ms until the return.

--- a/laburnumlatch/mesh/throttling.py
+++ b/laburnumlatch/mesh/throttling.py
@@ -13,11 +13,12 @@
 # Calls may fail at this rate before fewer requests are admitted.
 FAILED_RATE = 0.1
 DECREASE_RATE = 0.85
-INCREASE_SHARE = 0.02
+INCREASE_SHARE = 0.05
 # Some requests always go on: their calls show when there is room again.
 LEAST_SHARE = 0.1
-# A refused caller finds room when the share has grown again.
-RETRY_MS = 1000
+# Each request has the same chance, and the share is new by then; a caller who
+# is told to come back later is answered later, and not more often.
+RETRY_MS = 250
 
 
 @attrs.define
