--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -15,7 +15,7 @@
 NESTED_WAIT_RATE = 0.6
 # Calls of running requests have short targets, and many come at once; at
 # their own target they would push out what callers ask for.
-NESTED_TARGET_RATE = 2
+NESTED_TARGET_RATE = 3
 # The part of the expected wait after which a refused caller finds room.
 RETURN_RATE = 0.6
 
