--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -21,8 +21,6 @@
 MAX_AVOID_MS = 4000
 # An agent that could not be reached is likely to be starting again.
 UNREACHABLE_RETRY_MS = 600
-# A host that has no room for less than this may have some at any moment.
-MIN_FULL_MS = 200
 # Less time than this is not worth another try.
 MIN_REPEAT_MS = 120
 # The weight of one answer in the moving share of failures of a host.
@@ -153,9 +151,6 @@
         _avoid(host, request, now)
     else:
         _heard(world, request.host_id, failed.wait_ms, now)
-        is_full = failed.reason == messages.Reason.NO_ROOM
-        if is_full and failed.retry_after_ms >= MIN_FULL_MS:
-            host.full_until[request.route] = now + failed.retry_after_ms
         if failed.reason in {
             messages.Reason.SERVER_DOWN,
             messages.Reason.SHED,
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -19,9 +19,6 @@
 # While one request tries a host that could not be reached, others avoid it
 # for this time: longer than a connection may take.
 TRIAL_MS = 1000
-# A body from this size on is not sent to a host that has just refused its
-# route: the bytes would cross between failure domains only to be refused.
-LARGE_BODY_BYTES = 10_000
 
 _log = logs.logger('requests')
 
@@ -49,21 +46,9 @@
     elif host.host_id == world.host_id:
         obstacle = admission.enter(world, request, now)
         if obstacle is not None:
-            _turn_away(world, request, host, obstacle, now)
+            _turn_away(world, request, obstacle, now)
     else:
-        obstacle = _known_obstacle(request, host, now)
-        if obstacle is None:
-            _forward(world, request, host, now)
-        else:
-            _turn_away(world, request, host, obstacle, now)
-
-
-def _known_obstacle(request, host, now):
-    """Return why a large body should not be sent to another host, or None."""
-    wait_ms = host.full_until.get(request.route, now) - now
-    if wait_ms <= 0 or len(request.body) < LARGE_BODY_BYTES:
-        return None
-    return admission.Obstacle(messages.Reason.NO_ROOM, wait_ms)
+        _forward(world, request, host, now)
 
 
 def has_untried_host(world, request, now):
@@ -74,9 +59,9 @@
     )
 
 
-def _turn_away(world, request, host, obstacle, now):
-    """Place a caller's request on another host than `host`, or refuse it."""
-    request.tried.append(host.host_id)
+def _turn_away(world, request, obstacle, now):
+    """Place a caller's request on another host, or refuse it."""
+    request.tried.append(world.host_id)
     is_divided = world.is_divided(request.service)
     if not is_divided and has_untried_host(world, request, now):
         place(world, request, now)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -53,8 +53,7 @@
     as reported with answers. `failed_rate` is the moving share of answers
     that told of a failure. Until `avoid_until` the host is used only if no
     other is left. `failures` counts tries in a row that did not reach it, the
-    last of them at `failed_at`. `full_until` is until when it told that it
-    has no room for requests of a route.
+    last of them at `failed_at`.
     """
 
     record: HostRecord
@@ -67,7 +66,6 @@
     avoid_until: int = 0
     failures: int = 0
     failed_at: int = 0
-    full_until: dict[str, int] = attrs.Factory(dict)
 
     @property
     def host_id(self):
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -12,24 +12,12 @@
 from laburnumlatch.experiments import fleetload
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import waiting
 from laburnumlatch.mesh import worktimes
 
 LOOK_MS = fleetconfig.LOOK_TARGET_MS
 PATTERNS = fleetload.patterns()
-UPLOAD = bytes(60_000)
-
-
-def _forwarded(net):
-    """Return how many requests agents sent to one another."""
-    return sum(
-        counter.total
-        for world in net.worlds.values()
-        for (name, _labels), counter in world.counters.items()
-        if name == 'requests_forwarded'
-    )
 
 
 class TestPatterns:
@@ -105,33 +93,6 @@
         assert len(delivered) == len(numbers)
 
 
-class TestUploads:
-    """Large bodies for a service that has no room."""
-
-    def test_refused_uploads_are_not_sent(self, monkeypatch):
-        """Guards against bodies that cross a link only to be refused."""
-        found = []
-        for large_bytes in (math.inf, placement.LARGE_BODY_BYTES):
-            monkeypatch.setattr(placement, 'LARGE_BODY_BYTES', large_bytes)
-            net = fleet.deployment()
-            owner = net.worlds['b0'].plan_of(fleetconfig.SERVICE).piece_of(0)
-            senders = sorted({'b0', 'b1', 'b2', 'b3'} - {owner.host_id})
-            numbers = []
-            for _ in range(360):
-                sender = net.rng.choice(senders)
-                numbers.append(net.call(sender, '/book/', 0, 2000, body=UPLOAD))
-                net.run(8)
-            net.run(fleetload.REST_MS)
-            delivered = sum(
-                isinstance(net.outcomes[number], messages.Deliver)
-                for number in numbers
-            )
-            found.append((_forwarded(net) - delivered, delivered))
-        (wasted_before, before), (wasted, after) = found
-        assert wasted < 0.5 * wasted_before
-        assert after > 0.95 * before
-
-
 class TestCallsOfRequests:
     """Requests whose backend server calls another service."""
 
