--- a/laburnumlatch/cmdline.py
+++ b/laburnumlatch/cmdline.py
@@ -27,6 +27,14 @@
 EXIT_BAD_INPUT = 1
 EXIT_UNAVAILABLE = 3
 
+Json = typing.Annotated[bool, cappa.Arg(long='--json', help='print JSON')]
+Paths = typing.Annotated[list[str], cappa.Arg(help='files or directories')]
+
+
+def _progress(name):
+    """Return the progress line of a command on standard error."""
+    return progress.Progress(clock.MonotonicClock(), sys.stderr, name)
+
 
 @cappa.command(name='agent', help='Run the agent beside a backend server.')
 @attrs.define
@@ -50,14 +58,8 @@
 class CheckCommand:
     """Print every finding."""
 
-    paths: typing.Annotated[
-        list[str],
-        cappa.Arg(help='files or directories'),
-    ]
-    json: typing.Annotated[
-        bool,
-        cappa.Arg(long='--json', help='print JSON'),
-    ] = False
+    paths: Paths
+    json: Json = False
 
     def __call__(self):
         """Check all files together; exit with 1 if there are findings."""
@@ -84,14 +86,8 @@
         str,
         cappa.Arg(long='--store', help='ip:port of the store'),
     ]
-    paths: typing.Annotated[
-        list[str],
-        cappa.Arg(help='files or directories'),
-    ]
-    json: typing.Annotated[
-        bool,
-        cappa.Arg(long='--json', help='print JSON'),
-    ] = False
+    paths: Paths
+    json: Json = False
 
     def __call__(self):
         """Check, then publish."""
@@ -123,10 +119,7 @@
         str | None,
         cappa.Arg(long='--token-file', help="file with the agent's token"),
     ] = None
-    json: typing.Annotated[
-        bool,
-        cappa.Arg(long='--json', help='print JSON'),
-    ] = False
+    json: Json = False
 
     def _show(self, show, as_text, *path):
         """Print what the agent answers under `path`, or `show(world)`."""
@@ -181,7 +174,7 @@
 
     def __call__(self):
         """Print each decision about the request in order of time."""
-        shown = progress.Progress(clock.MonotonicClock(), sys.stderr, 'trace')
+        shown = _progress('trace')
         try:
             found = tracing.trace(self.request_id, self.paths, shown.report)
         except OSError as error:
@@ -228,10 +221,7 @@
         bool,
         cappa.Arg(long='--naive', help='baseline: random, modulo, retry'),
     ] = False
-    json: typing.Annotated[
-        bool,
-        cappa.Arg(long='--json', help='print JSON'),
-    ] = False
+    json: Json = False
 
     def __call__(self):
         """Print the measures."""
@@ -245,9 +235,7 @@
             prefer=self.prefer,
             **(workreport.NAIVE if self.naive else {}),
         )
-        shown = progress.Progress(
-            clock.MonotonicClock(), sys.stderr, 'workload'
-        )
+        shown = _progress('workload')
         figures = workreport.measure(chosen, shown.report)
         show = workreport.as_json if self.json else workreport.as_text
         sys.stdout.write(f'{show(figures)}\n')
@@ -262,10 +250,7 @@
         str | None,
         cappa.Arg(long='--pattern', help='one pattern; default all'),
     ] = None
-    json: typing.Annotated[
-        bool,
-        cappa.Arg(long='--json', help='print JSON'),
-    ] = False
+    json: Json = False
 
     def __call__(self):
         """Print the share of callers answered in time, before and now."""
@@ -275,7 +260,7 @@
             raise errors.InvalidInputError(
                 f'pattern {self.pattern!r}: expected one of {", ".join(known)}'
             )
-        shown = progress.Progress(clock.MonotonicClock(), sys.stderr, 'replay')
+        shown = _progress('replay')
         figures = {}
         for done, name in enumerate(names):
             shown.report(done / len(names))
--- a/laburnumlatch/slots/calls.py
+++ b/laburnumlatch/slots/calls.py
@@ -45,11 +45,6 @@
         """Number of bytes that wait for the reader."""
         return self._unread
 
-    @property
-    def is_ended(self):
-        """Tell whether all bytes have been written and read."""
-        return self._ended and not self._chunks
-
     def watch(self, callback):
         """Call `callback()` after each change until it returns False."""
         self._watchers.append(callback)
--- a/laburnumlatch/slots/departures.py
+++ b/laburnumlatch/slots/departures.py
@@ -27,11 +27,6 @@
         _log.info('leaving', host=world.settings.host_id, reason=reason)
 
 
-def is_over(world):
-    """Tell whether this host has left or has nothing to leave."""
-    return world.standing.departure == leaserows.Departure.DONE
-
-
 def run(world, plan, now):
     """Surrender once no request runs and no grant is live."""
     standing = world.standing
