Let the test of a killed agent allow keys that come for their load

Trace from the agents' logs: before the agent was back, the planner moved 2,752 keys of the other owner to it (`balanced moves=1`, use 1.24 and 0.76), for the requests of the set-up. That is allowed; the test guards against keys that move because of the restart.

The check was equality of all grants. It is now: every grant from before is held under the same fence, and no two grants of any servers have a key in common, which the old check did not look at.

--- a/tests/platformlab.py
+++ b/tests/platformlab.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import collections
+import itertools
 import json
 import os
 import sys
@@ -324,6 +325,19 @@
         except OSError as error:
             return httpclient.HTTPResponse(request, REFUSED, error=error)
 
+    def shared_grants(self):
+        """Return pairs of neighbouring grants that have keys in common."""
+        grants = sorted(
+            (*held[:2], name)
+            for name, backend in self.backends.items()
+            for held in backend.grants
+        )
+        return [
+            (one, other)
+            for one, other in itertools.pairwise(grants)
+            if other[0] <= one[1]
+        ]
+
     async def is_served(self, name, key):
         """Tell whether the agent of a host gets an answer for a key."""
         response = await self.call(name, '/look/x', key)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -93,15 +93,17 @@
         """Guards against keys that move, or stay unserved, at a restart."""
         async with platformlab.Lab(folder, SERVICES) as lab:
             owner = owner_of(lab, HALF)
-            fences = sorted(held[:3] for held in lab.backends[owner].grants)
+            before = {held[:3] for held in lab.backends[owner].grants}
             lab.agents[owner].kill()
             await lab.agents[owner].wait()
             await lab.start_agent(owner)
 
             is_served = functools.partial(lab.is_served, 'h3', HALF)
             await lab.wait_for(is_served, RESTART_S)
-            after = sorted(held[:3] for held in lab.backends[owner].grants)
-            assert fences == after
+            after = {held[:3] for held in lab.backends[owner].grants}
+            # The planner may also move keys to this host, for their load.
+            assert before <= after
+            assert not lab.shared_grants()
 
     async def test_store_outage_and_lost_answers(self, folder):
         """Guards against requests that need the store."""
