Refuse late forwards for 0.3 s after a stopped agent has left

Change: an agent that has left goes on refusing what other agents send to it for 0.3 s, by when they know of its departure, and only then closes.

--- a/laburnumlatch/slots/agent.py
+++ b/laburnumlatch/slots/agent.py
@@ -25,6 +25,9 @@
 INCARNATION_BITS = 48
 # Requests in flight may take this long to finish when the agent stops.
 LEAVE_S = 30
+# Other agents go on sending to this one until they know that it has left. It
+# refuses what they send; a closed connection would leave bookings in doubt.
+LAST_FORWARDS_S = 0.3
 
 _log = logs.logger('agent')
 
@@ -73,6 +76,7 @@
             await asyncio.wait_for(self._left.wait(), LEAVE_S)
         except TimeoutError:
             _log.warning('leave-timed-out', limit_s=LEAVE_S)
+        await asyncio.sleep(LAST_FORWARDS_S)
 
     def _build_front_ends(self, settings):
         open_calls = calls.Calls()
