--- a/laburnumlatch/core/logs.py
+++ b/laburnumlatch/core/logs.py
@@ -107,19 +107,6 @@
     return handler
 
 
-def decision(log, request, target, reason):
-    """Log one routing decision about a `slots.rows.Request` row."""
-    log.info(
-        'decided',
-        request=request.request_id,
-        service=request.service,
-        slot=request.slot,
-        owner=target,
-        epoch=request.epoch,
-        reason=reason,
-    )
-
-
 def _head(record):
     made = record.time
     ago_ms = record.extra[AGO]
--- a/laburnumlatch/experiments/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -105,7 +105,7 @@
     ]
     pieces = _plan(size).pieces
     rates = {cell: 1 / (1 + cell) for cell in range(balancing.CELL_COUNT)}
-    return _time_us(lambda: balancing.moves(pieces, rates, candidates), 1)
+    return _time_us(lambda: balancing.search(pieces, rates, candidates), 1)
 
 
 def _frame_bytes(count):
--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -1,5 +1,6 @@
 """Which keys should move so that load follows capacity: pure functions."""
 
+import enum
 import math
 
 import attrs
@@ -46,6 +47,35 @@
     host_id: str
 
 
+class Outcome(enum.StrEnum):
+    """How a search for moves ended.
+
+    `EVEN`: no host has enough more than the mean. `UNCLEAR`: the busiest may
+    have it by chance. `DONE`: the load will be even. `LIMITED`: more moves
+    are needed. `STUCK`: nothing of the busiest host fits anywhere.
+    """
+
+    EVEN = 'even'
+    UNCLEAR = 'unclear'
+    DONE = 'done'
+    LIMITED = 'limited'
+    STUCK = 'stuck'
+
+
+@attrs.define(frozen=True)
+class Search:
+    """What a search for moves found.
+
+    `busiest` is the host with most load over capacity after the moves, `use`
+    how many times the mean that is.
+    """
+
+    outcome: Outcome
+    busiest: str = ''
+    use: float = 0
+    moves: tuple[Move, ...] = ()
+
+
 def cell_of(key):
     """Return the cell of a key."""
     return key // KEYS_PER_CELL
@@ -75,25 +105,32 @@
     }
 
 
-def moves(pieces, by_cell, candidates, counted_s=math.inf):
-    """Return the `Move`s that bring load over capacity near to the mean.
+def search(pieces, by_cell, candidates, counted_s=math.inf):
+    """Return the `Search` for moves that bring load over capacity to the mean.
 
     `by_cell` are requests a second, counted over `counted_s`. Pieces that are
     on their way stay. Each move takes cells from the busiest host to the one
     with most room.
     """
     if len(candidates) < 2:
-        return ()
+        return Search(Outcome.EVEN)
     state = _State(pieces, by_cell, candidates)
-    if state.highest()[1] < START_RATIO or not state.is_clear(counted_s):
-        return ()
+    if state.highest()[1] < START_RATIO:
+        return Search(Outcome.EVEN, *state.highest())
+    if not state.is_clear(counted_s):
+        return Search(Outcome.UNCLEAR, *state.highest())
     found = []
-    while len(found) < MAX_MOVES and state.highest()[1] > STOP_RATIO:
+    outcome = Outcome.DONE
+    while state.highest()[1] > STOP_RATIO:
+        if len(found) == MAX_MOVES:
+            outcome = Outcome.LIMITED
+            break
         move = state.next_move()
         if move is None:
+            outcome = Outcome.STUCK
             break
         found.append(move)
-    return tuple(found)
+    return Search(outcome, *state.highest(), tuple(found))
 
 
 @attrs.define(frozen=True, order=True)
--- a/laburnumlatch/mesh/counting.py
+++ b/laburnumlatch/mesh/counting.py
@@ -38,6 +38,7 @@
         world,
         'requests_ended',
         service=request.service,
+        route=request.route,
         kind=request.kind,
         origin='agent' if request.sender else 'caller',
         outcome=outcome,
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -1,5 +1,7 @@
 """System: the planner writes who owns which keys, as holder of its role."""
 
+import heapq
+
 import attrs
 
 from laburnumlatch.core import logs
@@ -7,6 +9,7 @@
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import cellloads
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import messages
@@ -25,6 +28,10 @@
 FIRST_PLAN_MS = 1500
 DEFAULT_MEAN_MS = 200.0
 SILENT_MS = 1500
+# A round of balancing that waits for pieces on their way.
+WAITING = 'waiting'
+# So many hosts and cells are named in the line of a round.
+TOLD = 4
 
 _log = logs.logger('planner')
 
@@ -162,6 +169,7 @@
         if not candidates or now < world.role.taken + FIRST_PLAN_MS:
             return None
         owners = [(one.host_id, one.life) for one in candidates]
+        _log.info('first-plan', service=service, hosts=len(owners))
         return ranges.Plan(service, 1, ranges.equal(owners))
     if not candidates:
         return None
@@ -183,6 +191,7 @@
 
     def __init__(self, world, service, candidates, now):
         self._world = world
+        self._service = service
         self._now = now
         self._by_id = {one.host_id: one for one in candidates}
         self._candidates = candidates
@@ -223,11 +232,13 @@
     def balanced(self, pieces):
         """Return the pieces after the moves that pay."""
         if any(piece.former for piece in pieces):
+            self._tell_round(WAITING)
             return pieces
-        found = balancing.moves(
+        found = balancing.search(
             pieces, self._by_cell, self._candidates, self._counted_s
         )
-        for move in found:
+        self._tell_round(found.outcome, found)
+        for move in found.moves:
             pieces = ranges.split(pieces, (move.start, move.end + 1))
             pieces = tuple(
                 self._moved(piece, move)
@@ -235,10 +246,30 @@
                 else piece
                 for piece in pieces
             )
-        if found:
-            _log.info('balanced', moves=len(found), use=self._use)
         return pieces
 
+    def _tell_round(self, outcome, found=None):
+        """Count a round of balancing, and log one that leaves load uneven."""
+        counting.count(
+            self._world,
+            'balance_rounds',
+            service=self._service,
+            outcome=outcome,
+        )
+        if outcome == balancing.Outcome.EVEN:
+            return
+        _log.info(
+            'balanced',
+            outcome=outcome,
+            moves=len(found.moves) if found else 0,
+            use_before=_highest(self._use),
+            busiest_after=found.busiest if found else None,
+            use_after=round(found.use, 2) if found else None,
+            hosts=len(self._candidates),
+            cells=_highest(self._by_cell),
+            counted_s=round(self._counted_s, 1),
+        )
+
     def _next_fence(self):
         """Return a fence above all earlier ones; it names one piece."""
         self._last_fence += 1
@@ -312,6 +343,12 @@
         return self._now >= ends
 
 
+def _highest(figures):
+    """Return the few highest figures by name, for a log line."""
+    names = heapq.nlargest(TOLD, figures, key=figures.get)
+    return {name: round(figures[name], 2) for name in names}
+
+
 def _candidates(world, service, now):
     loads = world.loads.get(service)
     known = {} if loads is None else loads.mean_ms
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -38,7 +38,9 @@
     drop(world, request)
     counting.count_end(world, request, verdict, reason)
     if request.parent_route:
-        throttling.count_call(world, request.parent_route, has_failed=True)
+        throttling.count_call(
+            world, request.parent_route, throttling.CallEnd.FAILED
+        )
     decisions.conclude(
         world,
         request,
@@ -46,6 +48,7 @@
         is_good=False,
         reason=reason,
         service=request.service,
+        route=request.route,
         host=request.host_id or None,
         retry_after_ms=retry_after_ms,
         age_ms=world.now - request.arrived,
@@ -77,7 +80,11 @@
     is_in_time = age_ms <= request.target_ms
     if request.parent_route:
         throttling.count_call(
-            world, request.parent_route, has_failed=not is_in_time
+            world,
+            request.parent_route,
+            throttling.CallEnd.IN_TIME
+            if is_in_time
+            else throttling.CallEnd.LATE,
         )
     decisions.conclude(
         world,
--- a/laburnumlatch/mesh/throttling.py
+++ b/laburnumlatch/mesh/throttling.py
@@ -7,8 +7,13 @@
 calling route as have calls that succeed.
 """
 
+import enum
+
 import attrs
 
+from laburnumlatch.core import logs
+from laburnumlatch.mesh import counting
+
 ADJUST_MS = 250
 # Calls may fail at this rate before fewer requests are admitted.
 FAILED_RATE = 0.1
@@ -20,19 +25,30 @@
 # is told to come back later is answered later, and not more often.
 RETRY_MS = 250
 
+_log = logs.logger('throttling')
+
+
+class CallEnd(enum.StrEnum):
+    """How a call of a running request ended."""
+
+    IN_TIME = 'in-time'
+    LATE = 'late'
+    FAILED = 'failed'
+
 
 @attrs.define
 class Throttle:
     """Admission of one route: `share` of its requests, by `credit`.
 
-    `calls` and `failed` count the calls of its requests that have ended since
-    `share` was adjusted.
+    `calls`, `late` and `failed` count the calls of its requests that have
+    ended since `share` was adjusted.
     """
 
     route: str
     share: float = 1
     credit: float = 0
     calls: int = 0
+    late: int = 0
     failed: int = 0
 
 
@@ -43,34 +59,48 @@
     ):
         return
     for route, throttle in world.throttles.items():
+        calls, late, failed = throttle.calls, throttle.late, throttle.failed
+        former = throttle.share
         adjust(throttle)
+        if throttle.share < former:
+            _log.info(
+                'throttled-more',
+                route=route,
+                share=round(throttle.share, 2),
+                calls=calls,
+                late=late,
+                failed=failed,
+            )
         if throttle.share >= 1:
             world.throttles.pop(route)
 
 
 def adjust(throttle):
     """Admit less if too many calls failed, else a little more."""
-    if throttle.failed > FAILED_RATE * throttle.calls:
+    if throttle.late + throttle.failed > FAILED_RATE * throttle.calls:
         throttle.share = max(LEAST_SHARE, throttle.share * DECREASE_RATE)
     else:
         throttle.share = min(1, throttle.share + INCREASE_SHARE)
     throttle.calls = 0
+    throttle.late = 0
     throttle.failed = 0
 
 
-def count_call(world, route, *, has_failed):
-    """Count a call that a request of `route` made.
+def count_call(world, route, end):
+    """Count a call that a request of `route` made; `end` is a `CallEnd`.
 
     A call that was answered too late counts as failed: the service that is
     called has more work than it can do.
     """
+    counting.count(world, 'calls_ended', route=route, outcome=end)
     throttle = world.throttles.get(route)
     if throttle is None:
-        if not has_failed:
+        if end == CallEnd.IN_TIME:
             return
         throttle = world.throttles.put(route, Throttle(route))
     throttle.calls += 1
-    throttle.failed += has_failed
+    throttle.late += end == CallEnd.LATE
+    throttle.failed += end == CallEnd.FAILED
 
 
 def admits(world, route):
--- a/tests/test_mesh_cellloads.py
+++ b/tests/test_mesh_cellloads.py
@@ -56,7 +56,7 @@
         if self.is_chance_tested:
             counted_s = cellloads.counted_s(self.loads, now)
         rates = cellloads.rates(self.loads, now)
-        return balancing.moves(pieces, rates, HOSTS, counted_s)
+        return balancing.search(pieces, rates, HOSTS, counted_s).moves
 
 
 def moved(pieces, found):
--- a/tests/test_mesh_ranges.py
+++ b/tests/test_mesh_ranges.py
@@ -88,7 +88,7 @@
         loads = skewed_loads()
         before = balancing.use_by_host(pieces, loads, hosts)
         for _ in range(4):
-            pieces = moved(pieces, balancing.moves(pieces, loads, hosts))
+            pieces = moved(pieces, balancing.search(pieces, loads, hosts).moves)
         after = balancing.use_by_host(pieces, loads, hosts)
         assert max(before.values()) > 3
         assert max(after.values()) < CALM_RATIO
@@ -101,7 +101,9 @@
             loads = dict.fromkeys(range(balancing.CELL_COUNT), 0.02)
             loads.update(dict.fromkeys(range(centre, centre + 13), 3.0))
             for _ in range(5):
-                pieces = moved(pieces, balancing.moves(pieces, loads, hosts))
+                pieces = moved(
+                    pieces, balancing.search(pieces, loads, hosts).moves
+                )
             use = balancing.use_by_host(pieces, loads, hosts)
             assert max(use.values()) < HOT_RATIO
 
@@ -111,7 +113,7 @@
         pieces = ranges.equal([(one.host_id, one.life) for one in hosts])
         loads = dict.fromkeys(range(balancing.CELL_COUNT), 0.05)
         for _ in range(4):
-            pieces = moved(pieces, balancing.moves(pieces, loads, hosts))
+            pieces = moved(pieces, balancing.search(pieces, loads, hosts).moves)
         use = balancing.use_by_host(pieces, loads, hosts)
         assert max(use.values()) < CALM_RATIO
 
@@ -120,4 +122,4 @@
         hosts = candidates(first=1.0, second=1.0, third=1.0)
         pieces = ranges.equal([(one.host_id, one.life) for one in hosts])
         loads = dict.fromkeys(range(balancing.CELL_COUNT), 0.05)
-        assert not balancing.moves(pieces, loads, hosts)
+        assert not balancing.search(pieces, loads, hosts).moves
