--- a/laburnumlatch/experiments/fleetload.py
+++ b/laburnumlatch/experiments/fleetload.py
@@ -33,6 +33,8 @@
 class Load:
     """Callers of one kind: `per_step` requests every `STEP_MS`.
 
+    `hot_share` of them are about `hot_keys` keys from `first_hot_key` on.
+
     After a refusal a caller comes back up to `repeats` times: when it was
     told to, or at once if `is_impatient`. Each gives up after `patience_ms`.
     """
@@ -44,6 +46,8 @@
     is_impatient: bool = False
     patience_ms: int = fleetconfig.LOOK_TIMEOUT_MS
     hot_share: float = 0
+    first_hot_key: int = FIRST_HOT_KEY
+    hot_keys: int = HOT_KEYS
     leaving_share: float = 0
     callers: int = 0
     started: dict = attrs.Factory(dict)
@@ -102,7 +106,7 @@
         if self.path != '/':
             key = fleet.rng.randrange(fleetconfig.KEY_COUNT)
             if fleet.rng.random() < self.hot_share:
-                key = FIRST_HOT_KEY + fleet.rng.randrange(HOT_KEYS)
+                key = self.first_hot_key + fleet.rng.randrange(self.hot_keys)
         left_ms = since + self.patience_ms - fleet.now
         if left_ms <= 0:
             return
