--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -2,23 +2,28 @@
 
 import enum
 import math
+import statistics
 
 import attrs
 
 from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import ranking
 
-# Cells are the parts of the key space whose load is counted.
-KEYS_PER_CELL = 16
-CELL_COUNT = ranges.KEY_COUNT // KEYS_PER_CELL
+CELL_COUNT = ranges.KEY_COUNT // ranges.KEYS_PER_CELL
 # Moves start when the busiest host has this much more than the mean, and go
 # on until it has this much. The gap keeps noise from moving keys.
 START_RATIO = 1.2
 STOP_RATIO = 1.06
-# Keys that move wait for the work that runs on them, so few move at once.
+# Keys that move wait for the work that runs on them, so few move at once:
+# so many, or so many for each host.
 MAX_MOVES = 12
-# Moves start only if the busiest host has so many standard deviations more
-# than the mean: a few requests that meet one host by chance move nothing.
+MAX_MOVES_PER_HOST = 0.5
+# Moves start only if a host has so many standard deviations more than the
+# mean, or as many as the highest of all hosts has by chance: a few requests
+# that meet one host move nothing.
 CLEAR_DEVIATIONS = 1.5
+# A cell that no host has room for moves to one that is so much faster.
+FASTER_RATIO = 1.5
 # Load that a key range with no requests counts for, in requests a second: an
 # unseen key may become busy.
 IDLE_RATE = 0.0002
@@ -50,9 +55,10 @@
 class Outcome(enum.StrEnum):
     """How a search for moves ended.
 
-    `EVEN`: no host has enough more than the mean. `UNCLEAR`: the busiest may
-    have it by chance. `DONE`: the load will be even. `LIMITED`: more moves
-    are needed. `STUCK`: nothing of the busiest host fits anywhere.
+    `EVEN`: no host has enough more than the mean. `UNCLEAR`: those that have
+    it may have it by chance. `DONE`: the load will be even. `LIMITED`: more
+    moves are needed. `STUCK`: of a host that has too much nothing fits
+    anywhere; others may have been relieved.
     """
 
     EVEN = 'even'
@@ -62,12 +68,16 @@
     STUCK = 'stuck'
 
 
+# What a search found is told by the last of these that was met.
+_RANKS = (Outcome.EVEN, Outcome.UNCLEAR, Outcome.DONE, Outcome.STUCK)
+
+
 @attrs.define(frozen=True)
 class Search:
     """What a search for moves found.
 
     `busiest` is the host with most load over capacity after the moves, `use`
-    how many times the mean that is.
+    how many times the mean that is, also where nothing of it can move.
     """
 
     outcome: Outcome
@@ -78,7 +88,7 @@
 
 def cell_of(key):
     """Return the cell of a key."""
-    return key // KEYS_PER_CELL
+    return key // ranges.KEYS_PER_CELL
 
 
 def load_of(piece, by_cell):
@@ -109,28 +119,42 @@
     """Return the `Search` for moves that bring load over capacity to the mean.
 
     `by_cell` are requests a second, counted over `counted_s`. Pieces that are
-    on their way stay. Each move takes cells from the busiest host to the one
-    with most room.
+    on their way stay. Each move takes cells from the busiest host of which
+    something can move to the one with most room.
     """
     if len(candidates) < 2:
         return Search(Outcome.EVEN)
-    state = _State(pieces, by_cell, candidates)
-    if state.highest()[1] < START_RATIO:
-        return Search(Outcome.EVEN, *state.highest())
-    if not state.is_clear(counted_s):
-        return Search(Outcome.UNCLEAR, *state.highest())
+    state = _State(pieces, by_cell, candidates, counted_s)
+    limit = max(MAX_MOVES, int(len(candidates) * MAX_MOVES_PER_HOST))
     found = []
-    outcome = Outcome.DONE
-    while state.highest()[1] > STOP_RATIO:
-        if len(found) == MAX_MOVES:
-            outcome = Outcome.LIMITED
-            break
-        move = state.next_move()
+    met = {Outcome.EVEN}
+    least_use = START_RATIO
+    while len(found) < limit:
+        source, use = state.sources.highest()
+        if use <= least_use:
+            outcome = max(met, key=_RANKS.index)
+            return Search(outcome, *state.busiest(), tuple(found))
+        move = None
+        if not found and not state.is_clear(source):
+            met.add(Outcome.UNCLEAR)
+        else:
+            move = state.next_move(source)
+            met.add(Outcome.STUCK if move is None else Outcome.DONE)
         if move is None:
-            outcome = Outcome.STUCK
-            break
-        found.append(move)
-    return Search(outcome, *state.highest(), tuple(found))
+            state.sources.remove(source)
+        else:
+            found.append(move)
+            least_use = STOP_RATIO
+    return Search(Outcome.LIMITED, *state.busiest(), tuple(found))
+
+
+def _clear_deviations(count):
+    """Return by how many standard deviations one of `count` hosts must lead.
+
+    Blom's approximation tells by how many the highest leads by chance.
+    """
+    share = (count - 3 / 8) / (count + 1 / 4)
+    return max(CLEAR_DEVIATIONS, statistics.NormalDist().inv_cdf(share))
 
 
 @attrs.define(frozen=True, order=True)
@@ -143,11 +167,20 @@
     load: float
 
 
+def _load_of_part(part):
+    return part.load
+
+
 class _State:
-    """Load by host while moves are being chosen."""
+    """Load by host while moves are being chosen.
+
+    `sources` ranks the hosts that may give keys away, by load over capacity.
+    """
 
-    def __init__(self, pieces, by_cell, candidates):
+    def __init__(self, pieces, by_cell, candidates, counted_s):
         self._by_cell = by_cell
+        self._counted_s = counted_s
+        self._clear_deviations = _clear_deviations(len(candidates))
         self._capacity = {one.host_id: one.capacity for one in candidates}
         self._pieces = {one.host_id: [] for one in candidates}
         self._loads = {one.host_id: 0 for one in candidates}
@@ -159,51 +192,128 @@
                 self._pieces[piece.host_id].append((piece.start, piece.end))
         capacity = sum(self._capacity.values())
         self._mean = max(sum(self._loads.values()) / capacity, MIN_RATE)
-
-    def highest(self):
+        self._cell_parts = {}
+        self.sources = ranking.Ranking({
+            host_id: self._use(host_id) for host_id in self._loads
+        })
+        self._targets = ranking.Ranking({
+            host_id: -self._excess(host_id) for host_id in self._loads
+        })
+
+    def busiest(self):
         """Return the host with most load over capacity, and how much."""
         host_id = max(self._loads, key=self._use)
         return host_id, self._use(host_id)
 
-    def is_clear(self, counted_s):
-        """Tell whether the busiest host hardly has more by chance."""
-        host_id, _use = self.highest()
-        load = self._loads[host_id]
-        excess = load - self._mean * self._capacity[host_id]
-        deviation = math.sqrt(load / counted_s)
-        return excess >= CLEAR_DEVIATIONS * deviation
-
-    def next_move(self):
-        """Take the best part of the busiest host's keys; None if none fits."""
-        source = max(self._loads, key=self._use)
-        target = min(self._loads, key=self._use)
-        excess = self._loads[source] - self._mean * self._capacity[source]
-        room = self._mean * self._capacity[target] - self._loads[target]
+    def is_clear(self, host_id):
+        """Tell whether a host hardly has more than the mean by chance."""
+        deviation = math.sqrt(self._loads[host_id] / self._counted_s)
+        return self._excess(host_id) >= self._clear_deviations * deviation
+
+    def next_move(self, source):
+        """Take the best part of the keys of a host; None if none fits."""
+        move = self._move_of_hot_cell(source)
+        if move is not None:
+            return move
+        target, room = self._targets.highest()
+        wanted = min(self._excess(source), room)
         parts = [
             part
             for keys in self._pieces[source]
-            for part in self._parts(keys, min(excess, room))
+            for part in self._parts(keys, wanted)
         ]
         if not parts:
-            return None
-        best = min(parts)
-        self._take(source, target, best)
-        return Move(best.start, best.end, target)
+            return self._move_beside_hot_cell(source, target)
+        return self._take(source, target, min(parts))
 
     def _use(self, host_id):
         return self._loads[host_id] / self._capacity[host_id] / self._mean
 
+    def _excess(self, host_id):
+        return self._loads[host_id] - self._mean * self._capacity[host_id]
+
+    def _move_of_hot_cell(self, source):
+        """Take a cell that alone is too much for its host to a faster one.
+
+        Its host cannot be relieved otherwise. What else the faster host has
+        moves away later, as it then has too much.
+        """
+        if not self._cells(source):
+            return None
+        hot = self._cells(source)[0]
+        if hot.load <= self._capacity[source] * self._mean:
+            return None
+        faster = [
+            host_id
+            for host_id, capacity in self._capacity.items()
+            if capacity > self._capacity[source] * FASTER_RATIO
+        ]
+        if not faster:
+            return None
+        use, target = min(
+            (self._unmovable_use(host_id, hot.load), host_id)
+            for host_id in faster
+        )
+        if use * START_RATIO >= hot.load / self._capacity[source]:
+            return None
+        return self._take(source, target, hot)
+
+    def _move_beside_hot_cell(self, source, target):
+        """Take a cell that fits nowhere from beside a hotter one, or None.
+
+        It waits behind the hotter one here. `target` must have less load
+        over capacity even then, and moves other keys away later.
+        """
+        others = self._cells(source)[1:]
+        if not others:
+            return None
+        part = others[0]
+        left = self._loads[source] - part.load
+        new = self._loads[target] + part.load
+        use_there = new / self._capacity[target]
+        if use_there * START_RATIO >= left / self._capacity[source]:
+            return None
+        return self._take(source, target, part)
+
+    def _unmovable_use(self, host_id, load):
+        """Return load over capacity of a host that has its hottest cell left.
+
+        `load` comes to that cell's.
+        """
+        own_load = sum(part.load for part in self._cells(host_id)[:1])
+        return (load + own_load) / self._capacity[host_id]
+
+    def _cells(self, host_id):
+        """Return the cells of a host that can move, the hottest first."""
+        if host_id not in self._cell_parts:
+            parts = [
+                self._part_of_cell(cell, keys)
+                for keys in self._pieces[host_id]
+                for cell in range(cell_of(keys[0]), cell_of(keys[1]) + 1)
+                if cell in self._by_cell
+            ]
+            parts.sort(key=_load_of_part, reverse=True)
+            self._cell_parts[host_id] = parts
+        return self._cell_parts[host_id]
+
+    def _part_of_cell(self, cell, keys, wanted=0):
+        """Return the part of a range that lies in a cell."""
+        start = max(cell * ranges.KEYS_PER_CELL, keys[0])
+        end = min((cell + 1) * ranges.KEYS_PER_CELL - 1, keys[1])
+        rate = self._rate(cell)
+        return _Part(abs(wanted - rate), start, end, rate)
+
     def _parts(self, keys, wanted):
         """Return parts of a range whose load comes near to `wanted`."""
         cells = range(cell_of(keys[0]), cell_of(keys[1]) + 1)
         found = []
         first, load = self._run(cells, wanted)
         if first is not None:
-            end = min((first + 1) * KEYS_PER_CELL - 1, keys[1])
+            end = min((first + 1) * ranges.KEYS_PER_CELL - 1, keys[1])
             found.append(_Part(abs(wanted - load), keys[0], end, load))
         last, load = self._run(reversed(cells), wanted)
         if last is not None:
-            start = max(last * KEYS_PER_CELL, keys[0])
+            start = max(last * ranges.KEYS_PER_CELL, keys[0])
             found.append(_Part(abs(wanted - load), start, keys[1], load))
         return found or self._fullest_cell(keys, cells, wanted)
 
@@ -233,16 +343,18 @@
         rate, cell = max(rates)
         if rate < wanted * LEAST_OF_WANTED:
             return []
-        start = max(cell * KEYS_PER_CELL, keys[0])
-        end = min((cell + 1) * KEYS_PER_CELL - 1, keys[1])
-        return [_Part(abs(wanted - rate), start, end, rate)]
+        return [self._part_of_cell(cell, keys, wanted)]
 
     def _rate(self, cell):
         return self._by_cell.get(cell, 0) + IDLE_RATE
 
     def _take(self, source, target, part):
-        self._loads[source] -= part.load
-        self._loads[target] += part.load
+        """Return the move of a part to `target`, where it then stays."""
+        for host_id, change in ((source, -part.load), (target, part.load)):
+            self._loads[host_id] += change
+            self._cell_parts.pop(host_id, None)
+            self.sources.change(host_id, self._use(host_id))
+            self._targets.change(host_id, -self._excess(host_id))
         kept = []
         for start, end in self._pieces[source]:
             if end < part.start or part.end < start:
@@ -253,3 +365,4 @@
             if part.end < end:
                 kept.append((part.end + 1, end))
         self._pieces[source] = kept
+        return Move(part.start, part.end, target)
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -5,6 +5,8 @@
 import attrs
 
 KEY_COUNT = 65_536
+# Load is counted and moved by cells of so many keys.
+KEYS_PER_CELL = 16
 
 
 @attrs.define(frozen=True)
@@ -99,9 +101,15 @@
 
 
 def equal(owners):
-    """Return pieces of equal width for `owners`, (host_id, life) pairs."""
+    """Return pieces of equal width for `owners`, (host_id, life) pairs.
+
+    They consist of whole cells, unless there are more owners than cells: the
+    load of a cell that two hosts share could not be told apart.
+    """
     count = len(owners)
-    cuts = [KEY_COUNT * number // count for number in range(count + 1)]
+    unit = KEYS_PER_CELL if count * KEYS_PER_CELL <= KEY_COUNT else 1
+    units = KEY_COUNT // unit
+    cuts = [units * number // count * unit for number in range(count + 1)]
     return tuple(
         Piece(cuts[number], cuts[number + 1] - 1, host_id, life, number + 1)
         for number, (host_id, life) in enumerate(owners)
--- a/tests/test_mesh_balancing.py
+++ b/tests/test_mesh_balancing.py
@@ -21,6 +21,7 @@
 # second of one of them, and how unequal the keys are.
 SPEEDS = (0.7, 0.7, 1.7)
 RATE = 15
+MOST_BESIDE_HOT_KEY = 0.2
 KEY_SKEW = 0.55
 COUNTED_S = 5.8
 HOT_CELL = 3172
@@ -43,7 +44,7 @@
     first = random.Random(seed).randrange(balancing.CELL_COUNT)
     weights = {}
     for place in range(ranges.KEY_COUNT):
-        cell = (first + place // balancing.KEYS_PER_CELL) % balancing.CELL_COUNT
+        cell = (first + place // ranges.KEYS_PER_CELL) % balancing.CELL_COUNT
         weights[cell] = weights.get(cell, 0) + (1 + place) ** -KEY_SKEW
     total = sum(weights.values())
     return {
@@ -139,11 +140,11 @@
         """Guards against keys that are refused for a hot key beside them."""
         hosts, rates, pieces = self._balanced(count, seed)
         plan = ranges.Plan('bokun', 1, pieces)
-        owner_id = plan.piece_of(HOT_CELL * balancing.KEYS_PER_CELL).host_id
+        owner_id = plan.piece_of(HOT_CELL * ranges.KEYS_PER_CELL).host_id
         capacity = {one.host_id: one.capacity for one in hosts}
         assert capacity[owner_id] == max(capacity.values())
         use = use_without(HOT_CELL, pieces, rates, hosts)
-        assert use[owner_id] < 0.2
+        assert use[owner_id] < MOST_BESIDE_HOT_KEY
 
     def _balanced(self, count, seed):
         hosts = hosts_of(count, seed)
@@ -163,10 +164,9 @@
         slow = owner_of(net, fleetload.FIRST_HOT_KEY)
         # A release is answered when the work on its keys has ended.
         net.backends[slow].work_ms = 30_000
-        for piece in pieces_of(net):
-            if piece.host_id == slow:
-                for key in range(piece.start, piece.end, 500):
-                    net.call('m0', '/look/', key, 30_000)
+        (owned,) = (one for one in pieces_of(net) if one.host_id == slow)
+        for key in range(owned.start, owned.end, 500):
+            net.call('m0', '/look/', key, 30_000)
         hot = fleetload.Load(net, '/look/', 1.2, hot_share=0.5)
         hot.run(3000)
         assert any(piece.former == slow for piece in pieces_of(net))
