--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -28,8 +28,6 @@
 FIRST_PLAN_MS = 1500
 DEFAULT_MEAN_MS = 200.0
 SILENT_MS = 1500
-# A round of balancing that waits for pieces on their way.
-WAITING = 'waiting'
 # So many hosts and cells are named in the line of a round.
 TOLD = 4
 
@@ -176,9 +174,7 @@
     version = plan.version + 1
     draft = _Draft(world, service, candidates, now)
     pieces = tuple(draft.renewed(piece) for piece in plan.pieces)
-    if pieces == plan.pieces and world.due(
-        f'planner/balance/{service}', BALANCE_MS, now
-    ):
+    if world.due(f'planner/balance/{service}', BALANCE_MS, now):
         pieces = draft.balanced(pieces)
     pieces = ranges.join(pieces)
     if pieces == plan.pieces:
@@ -230,14 +226,15 @@
         return piece
 
     def balanced(self, pieces):
-        """Return the pieces after the moves that pay."""
-        if any(piece.former for piece in pieces):
-            self._tell_round(WAITING)
-            return pieces
+        """Return the pieces after the moves that pay.
+
+        Pieces on their way stay, and hold up no others: one owner that does
+        not let go would keep all hosts as they are.
+        """
         found = balancing.search(
             pieces, self._by_cell, self._candidates, self._counted_s
         )
-        self._tell_round(found.outcome, found)
+        self._tell_round(found)
         for move in found.moves:
             pieces = ranges.split(pieces, (move.start, move.end + 1))
             pieces = tuple(
@@ -248,23 +245,23 @@
             )
         return pieces
 
-    def _tell_round(self, outcome, found=None):
+    def _tell_round(self, found):
         """Count a round of balancing, and log one that leaves load uneven."""
         counting.count(
             self._world,
             'balance_rounds',
             service=self._service,
-            outcome=outcome,
+            outcome=found.outcome,
         )
-        if outcome == balancing.Outcome.EVEN:
+        if found.outcome == balancing.Outcome.EVEN:
             return
         _log.info(
             'balanced',
-            outcome=outcome,
-            moves=len(found.moves) if found else 0,
+            outcome=found.outcome,
+            moves=len(found.moves),
             use_before=_highest(self._use),
-            busiest_after=found.busiest if found else None,
-            use_after=round(found.use, 2) if found else None,
+            busiest_after=found.busiest,
+            use_after=round(found.use, 2),
             hosts=len(self._candidates),
             cells=_highest(self._by_cell),
             counted_s=round(self._counted_s, 1),
