--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -92,7 +92,8 @@
 
     `expires` is when the last lease that this planner gave has ended for
     certain, `heard` when the host last spoke under the present term,
-    `first_heard` when it first did.
+    `first_heard` when it first did, `ready_since` when it first told of a
+    backend server.
     """
 
     host_id: str
@@ -101,6 +102,7 @@
     expires: int = 0
     heard: int = 0
     first_heard: int | None = None
+    ready_since: int | None = None
     life: ranges.Life | None = None
     slots: int = 0
     is_leaving: bool = False
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -172,6 +172,8 @@
     lessee.address = renew.address
     lessee.service = renew.service
     lessee.life = renew.life
+    if renew.life is not None and lessee.ready_since is None:
+        lessee.ready_since = now
     lessee.slots = renew.slots
     lessee.is_leaving = renew.is_leaving
     lessee.grants_end = now + int(
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -24,8 +24,11 @@
 BALANCE_MS = 1000
 # A write that the store turned down is made again after this time.
 REJECTED_MS = 400
-# Hosts that start together are known by then.
+# The first plan waits until for this time no further host became ready, so
+# that it divides the keys among all hosts that start together.
 FIRST_PLAN_MS = 1500
+# A host that is always the next to become ready holds it up no longer.
+LATEST_FIRST_PLAN_MS = 8000
 DEFAULT_MEAN_MS = 200.0
 SILENT_MS = 1500
 # So many hosts and cells are named in the line of a round.
@@ -164,7 +167,7 @@
     candidates = _candidates(world, service, now)
     plan = world.plan_of(service)
     if plan is None:
-        if not candidates or now < world.role.taken + FIRST_PLAN_MS:
+        if not candidates or not _are_all_ready(world, candidates, now):
             return None
         owners = [(one.host_id, one.life) for one in candidates]
         _log.info('first-plan', service=service, hosts=len(owners))
@@ -182,6 +185,14 @@
     return ranges.Plan(service, version, pieces)
 
 
+def _are_all_ready(world, candidates, now):
+    """Tell whether it is likely that no further host becomes ready soon."""
+    taken = world.role.taken
+    last = max(world.lessees.get(one.host_id).ready_since for one in candidates)
+    settled = max(taken, last) + FIRST_PLAN_MS
+    return now >= min(settled, taken + LATEST_FIRST_PLAN_MS)
+
+
 class _Draft:
     """Decisions on the pieces of one service, for one write."""
 
