--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -28,6 +28,7 @@
 # Any number but that of the bytes taken makes libcurl end the transfer.
 BREAK_OFF = -1
 OTHER_REQUEST = 'the answer belongs to another request'
+NO_ID = 'the refusal may belong to an earlier request'
 CUT_HEAD = 'the head of the answer has no end'
 # Key of a transfer's `info`: whether the empty line after the head has come.
 HEAD_IS_WHOLE = 'head_is_whole'
@@ -185,7 +186,7 @@
             follow_redirects=False,
             max_redirects=0,
             decompress_response=False,
-            prepare_curl_callback=curlclient.watch_connection,
+            prepare_curl_callback=_use_own_connection,
         )
         done = asyncio.get_running_loop().create_future()
         self._client.fetch_impl(request, done.set_result)
@@ -263,13 +264,10 @@
         self._curl = curl
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.PATH_AS_IS, 1)
-        curlclient.watch_connection(curl)
-        # Handles are used again with their options, so both are always set.
-        # libcurl by itself repeats a request on a reused connection that
-        # closes before the answer; work that must not repeat gets a new one.
-        is_fresh = int(self._message.fresh_connection)
-        curl.setopt(pycurl.FRESH_CONNECT, is_fresh)
-        curl.setopt(pycurl.FORBID_REUSE, is_fresh)
+        if self._message.fresh_connection:
+            _use_own_connection(curl)
+        else:
+            _use_kept_connection(curl)
 
     def _is_own(self, fields):
         """Tell whether the fields of an answer are those of this request."""
@@ -295,6 +293,10 @@
                 self._problem_found or str(response.error),
             )
         fields = response.headers
+        if self._may_be_earlier(response):
+            return self._failure(
+                messages.Phase.SENT, messages.Reason.BROKEN, NO_ID
+            )
         if wire.NOT_RUN in fields and response.code != STATUS_NOT_ASKED:
             reason = messages.Reason.SHED
             if response.code == STATUS_MISDIRECTED:
@@ -321,6 +323,19 @@
             ),
         )
 
+    def _may_be_earlier(self, response):
+        """Tell whether a refusal may be that of an earlier request, repeated.
+
+        On a connection that was used before only its ID tells them apart.
+        """
+        is_refusal = (
+            wire.NOT_RUN in response.headers
+            or response.code == STATUS_MISDIRECTED
+        )
+        is_new = self._curl.getinfo(pycurl.NUM_CONNECTS) > 0
+        has_id = wire.REQUEST_ID in response.headers
+        return is_refusal and not has_id and not is_new
+
     def _problem(self, response):
         """Return why the answer cannot be this request's, or nothing."""
         fields = response.headers
@@ -346,3 +361,24 @@
     # A status that is no success also comes as an error, of the base class;
     # libcurl's failures and those of the set-up are of other classes.
     return type(response.error) not in {type(None), httpclient.HTTPClientError}
+
+
+def _use_own_connection(curl):
+    """Let a transfer have a connection of its own, closed after its answer.
+
+    libcurl by itself repeats a request on a reused connection that closes
+    before the answer, so work that must not repeat gets a new one. Answers to
+    grants and releases bear no ID, and an earlier answer may come once more
+    on a connection that was used before.
+    """
+    curlclient.watch_connection(curl)
+    # Handles are used again with their options, so both are always set.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def _use_kept_connection(curl):
+    """Let a transfer use a connection that earlier ones left open."""
+    curlclient.watch_connection(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
+    curl.setopt(pycurl.FORBID_REUSE, 0)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -1,6 +1,7 @@
 """The client of the local backend server, against raw connections."""
 
 import asyncio
+import re
 
 import attrs
 import pytest
@@ -202,6 +203,41 @@
 EARLIER_GRANT = backendmsg.GiveGrant(1, '', 0, 15, 7, 1000)
 
 
+def answer_of(status, handover=''):
+    """Return the bytes of an answer to a grant or a release."""
+    head = f'HTTP/1.1 {status} Told\r\nX-Handover: {handover}\r\n'
+    return f'{head}Content-Length: 0\r\n\r\n'.encode()
+
+
+class Repeating:
+    """Writes the first answer of a connection once more before each later one.
+
+    `answers` are those to all requests, in order.
+    """
+
+    def __init__(self, answers):
+        self.address = addresses.free()
+        self._answers = iter(answers)
+
+    async def start(self):
+        ip_text, port = self.address.split(':')
+        await asyncio.start_server(self._serve, ip_text, int(port))
+
+    async def _serve(self, reader, writer):
+        first = b''
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                return
+            length = re.search(rb'Content-Length: (\d+)', head)
+            await reader.readexactly(int(length[1]) if length else 0)
+            answer = next(self._answers)
+            writer.writelines((first, answer))
+            first = first or answer
+            await writer.drain()
+
+
 class TestCutHeads:
     """A backend server that stops in the head of its answer and closes."""
 
@@ -241,3 +277,48 @@
         answers.append(await asyncio.wait_for(events.get(), 3))
     await client.stop()
     return answers
+
+
+class TestEarlierAnswers:
+    """A backend server that writes an earlier answer once more."""
+
+    async def test_release_is_believed_by_its_own_answer(self):
+        """Guards against keys that are handed on before they are released."""
+        server = Repeating([answer_of(200, 'old'), answer_of(200, 'own')])
+        await server.start()
+        answers = await ask(server, give_grant(server), take_back(server))
+        assert answers[1].handover == 'own'
+
+    async def test_grant_is_believed_by_its_own_answer(self):
+        """Guards against keys that are held though they count as refused."""
+        server = Repeating([answer_of(409), answer_of(200)])
+        await server.start()
+        answers = await ask(server, give_grant(server), give_grant(server))
+        assert [one.is_accepted for one in answers] == [False, True]
+
+    async def test_release_after_a_read(self):
+        """Guards against the answer of a read taken for that of a release."""
+        read = ANSWER.format('r1', 'right').encode()
+        server = Repeating([read, answer_of(200, 'own')])
+        await server.start()
+        events = asyncio.Queue()
+        client = backendclient.BackendClient(events.put_nowait)
+        await exchange(client, events, server, 'r1')
+        client.carry_out(take_back(server))
+        taken = await asyncio.wait_for(events.get(), 3)
+        assert taken.handover == 'own'
+        await client.stop()
+
+    async def test_refusal_without_an_id_may_be_an_earlier_one(self):
+        """Guards against `not run` for a request that has run."""
+        head = b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
+        refusal = b'%sContent-Length: 0\r\n\r\n' % head
+        server = Repeating([refusal, ANSWER.format('r2', 'right').encode()])
+        await server.start()
+        events = asyncio.Queue()
+        client = backendclient.BackendClient(events.put_nowait)
+        first = await exchange(client, events, server, 'r1')
+        assert first.phase == messages.Phase.REFUSED
+        second = await exchange(client, events, server, 'r2')
+        assert second.phase == messages.Phase.SENT
+        await client.stop()
