--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -33,6 +33,8 @@
 # Key of a transfer's `info`: whether the empty line after the head has come.
 HEAD_IS_WHOLE = 'head_is_whole'
 STATUS_LINE_START = b'HTTP/'
+# The most that one answer may have: several may come without end at a time.
+MAX_ANSWER_BYTES = 4_194_304
 STATUS_OK = 200
 # Statuses of one kind share their hundreds.
 SUCCESS_UNIT = 100
@@ -96,7 +98,9 @@
         """Open nothing until there is something to send."""
         super().__init__(post)
         self._client = _CheckingClient(
-            force_instance=True, max_clients=MAX_CLIENTS
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_ANSWER_BYTES,
         )
         self._exchanges = {}
         self._tasks = set()
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -16,6 +16,11 @@
     'Content-Length: 5\r\n\r\n{}'
 )
 
+# The smallest agents have 200 MB; an answer without end must stay far below,
+# with what the connection itself holds.
+MOST_WRITTEN_BYTES = 16 * 2**20
+ENDLESS_BYTES = 64 * 2**20
+
 
 class Server:
     """Answers each request with the next list of (request ID, body)."""
@@ -322,3 +327,53 @@
         second = await exchange(client, events, server, 'r2')
         assert second.phase == messages.Phase.SENT
         await client.stop()
+
+
+class Endless:
+    """Writes the start of an answer, then bytes until it is closed."""
+
+    def __init__(self, start):
+        self.address = addresses.free()
+        self.written = 0
+        self._start = start
+
+    async def start(self):
+        ip_text, port = self.address.split(':')
+        await asyncio.start_server(self._serve, ip_text, int(port))
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._start)
+        try:
+            while self.written < ENDLESS_BYTES:
+                writer.write(b'x-field: filler\r\n' * 4000)
+                await writer.drain()
+                self.written += 4000 * len(b'x-field: filler\r\n')
+        except ConnectionError:
+            return
+
+
+class TestBytesWithoutEnd:
+    """Bytes that go on until the connection is closed."""
+
+    @pytest.mark.parametrize(
+        'start', [proven(b''), proven(b'\r\n'), b'HTTP/1.1 200 OK\r\n\r\n']
+    )
+    async def test_answer_is_broken_off(self, start):
+        """Guards against an agent that runs out of memory."""
+        server = Endless(start)
+        await server.start()
+        events = asyncio.Queue()
+        client = backendclient.BackendClient(events.put_nowait)
+        event = await exchange(client, events, server, 'r1')
+        assert event.phase == messages.Phase.SENT
+        assert server.written < MOST_WRITTEN_BYTES
+        await client.stop()
+
+    async def test_grant_is_broken_off(self):
+        """Guards against the same at a grant."""
+        server = Endless(b'HTTP/1.1 200 OK\r\n\r\n')
+        await server.start()
+        (answer,) = await ask(server, give_grant(server))
+        assert answer.is_accepted is None
+        assert server.written < MOST_WRITTEN_BYTES
