--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -91,6 +91,7 @@
     if parent is not None:
         request.is_nested = True
         request.parent_route = parent.route
+        request.parent_due = parent.arrived + parent.target_ms
     retrybudget.count_request(world, request.service, now)
     decisions.note(
         world,
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -79,13 +79,10 @@
     age_ms = world.now - request.arrived
     is_in_time = age_ms <= request.target_ms
     if request.parent_route:
-        throttling.count_call(
-            world,
-            request.parent_route,
-            throttling.CallEnd.IN_TIME
-            if is_in_time
-            else throttling.CallEnd.LATE,
-        )
+        call_end = throttling.CallEnd.IN_TIME
+        if world.now > request.parent_due:
+            call_end = throttling.CallEnd.LATE
+        throttling.count_call(world, request.parent_route, call_end)
     decisions.conclude(
         world,
         request,
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -134,7 +134,8 @@
     counts exchanges in which a backend server may have got the request;
     `may_have_run` tells that one of them may have run it. `is_nested` tells
     that a request which runs at a backend server waits for this one;
-    `parent_route` is that request's route, on its own host only.
+    `parent_route` is that request's route, `parent_due` when its target
+    ends, both on its own host only.
     `overtaken` counts later requests of its route that ended before it.
     `decisions` are those not yet written to the log; from
     `is_logged_whole` on each is written when it is made.
@@ -167,6 +168,7 @@
     plan_version: int = 0
     is_nested: bool = False
     parent_route: str = ''
+    parent_due: int = 0
     overtaken: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_whole: bool = False
--- a/laburnumlatch/mesh/throttling.py
+++ b/laburnumlatch/mesh/throttling.py
@@ -29,7 +29,10 @@
 
 
 class CallEnd(enum.StrEnum):
-    """How a call of a running request ended."""
+    """How a call of a running request ended.
+
+    `LATE`: when the target of the request that made it had passed.
+    """
 
     IN_TIME = 'in-time'
     LATE = 'late'
@@ -89,8 +92,9 @@
 def count_call(world, route, end):
     """Count a call that a request of `route` made; `end` is a `CallEnd`.
 
-    A call that was answered too late counts as failed: the service that is
-    called has more work than it can do.
+    A call that was answered too late for the request that made it counts as
+    failed: the service that is called has more work than it can do. One that
+    only missed its own target has cost the caller nothing.
     """
     counting.count(world, 'calls_ended', route=route, outcome=end)
     throttle = world.throttles.get(route)
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -122,6 +122,21 @@
         assert bounded > 10 * before
         assert both > bounded
 
+    def test_late_calls_refuse_nobody(self):
+        """Guards against requests refused for calls that cost them nothing.
+
+        Each call is answered after its own target, but in time for the
+        request that makes it.
+        """
+        net = fleet.deployment(divided=6, others=4)
+        for backend in net.backends.values():
+            is_caller = backend.service == fleetconfig.SERVICE
+            backend.calls = int(is_caller)
+            backend.work_ms = 100 if is_caller else 350
+        load = fleetload.Load(net, '/look/', 0.3)
+        load.run(4000)
+        assert load.share_in(LOOK_MS) == 1
+
     def _shares(self, monkeypatch, module, name, *values):
         """Return the shares answered in time with each value of a setting."""
         found = []
