--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -11,7 +11,8 @@
 class Store:
     """Rows with versions; calls of cut hosts have no answer.
 
-    The next `rejects` writes of a key are turned down by saying so.
+    The next `rejects` writes of a key are turned down by saying so. `calls`
+    counts those about rows.
     """
 
     def __init__(self):
@@ -22,6 +23,7 @@
         self.is_down = False
         self.rejects = {}
         self.writes = 0
+        self.calls = 0
 
     def answer(self, host_id, message):
         """Return the answer to a call, or None while a watch waits."""
@@ -83,6 +85,7 @@
             storemsg.StorePut,
         ):
             for message in outbox.take(kind):
+                self._fleet.store.calls += 1
                 self._later(ANSWER_MS, self._ask, host_id, message)
         for read in outbox.take(messages.ReadConfiguration):
             self._later(ANSWER_MS, self._read_configuration, host_id, read)
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -22,6 +22,9 @@
 WATCH_MS = 28_000
 # A refused or lost call to the store is repeated after this time.
 RETRY_MS = 400
+# After changes the next watch begins this much later: hosts that start or end
+# together write their rows together, and each watch that ends is a call.
+WATCH_PAUSE_MS = 500
 # How often the own row is compared with what it should say.
 OWN_ROW_MS = 100
 # The planner's plan comes directly; the store is asked if it does not.
@@ -40,6 +43,7 @@
     """Follow the rows, take in announcements, keep the own row current."""
     if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
         world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
+    _watch_again(world, now)
     for told in world.inbox.take(messages.PlanTold):
         take_plan(world, told.plan, told.row_version)
     if _misses_plans(world) and world.due(PLANS_TICKET, PLANS_MS, now):
@@ -47,7 +51,7 @@
     for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _failed(world, failed, now)
     for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
-        _changed(world, read)
+        _changed(world, read, now)
     for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         world.own_row_version = written.version
         world.timers.pop(ROW_TICKET)
@@ -123,6 +127,7 @@
     if failed.ticket == WATCH_TICKET:
         # The history may be gone or changes lost, so all is read again.
         world.is_watching = False
+        world.watch_after = None
         world.timers.put(SCAN_TICKET, now + RETRY_MS)
         world.wake_at(now + RETRY_MS)
     elif failed.ticket == ROW_TICKET:
@@ -130,16 +135,30 @@
         world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
-def _changed(world, read):
+def _watch_again(world, now):
+    """Begin the next watch once its pause is over."""
+    if world.watch_after is None:
+        return
+    if now < world.watch_at:
+        world.wake_at(world.watch_at)
+        return
+    world.outbox.post(
+        storemsg.StoreWatch(WATCH_TICKET, TABLE, world.watch_after, WATCH_MS),
+    )
+    world.watch_after = None
+
+
+def _changed(world, read, now):
     if read.ticket == PLANS_TICKET:
         world.has_plans = True
         take_rows(world, read.rows)
         return
     if read.ticket == WATCH_TICKET or not world.is_watching:
         world.is_watching = True
-        world.outbox.post(
-            storemsg.StoreWatch(WATCH_TICKET, TABLE, read.version, WATCH_MS),
-        )
+        world.watch_after = read.version
+        pause_ms = WATCH_PAUSE_MS if read.rows else 0
+        world.watch_at = now + pause_ms
+        world.wake_at(world.watch_at)
     if not world.has_members:
         _log.info('members-known', version=read.version)
     world.has_members = True
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -54,6 +54,9 @@
     has_members: bool = False
     has_plans: bool = False
     is_watching: bool = False
+    # The version after which the next watch asks for rows, None if one runs.
+    watch_after: int | None = None
+    watch_at: int = 0
     is_watching_configuration: bool = False
     members_heard: int = 0
     configuration_heard: int = 0
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -14,6 +14,9 @@
 # A planner that is lost with an owner: see `role.former_planners_end`.
 DOUBLE_LOSS_MS = TAKEOVER_MS + 6000
 
+# Rows of two seconds are read in this many calls, the own one written, and
+# the planner renews its role.
+MOST_CALLS = 6
 # Two rejected writes, the planner's step before each, and the handover.
 REJECTED_WRITES_MS = 2 * planner.REJECTED_MS + 3 * planner.PLAN_MS
 
@@ -47,6 +50,23 @@
         assert all(served(net, number) for number in numbers)
 
 
+class TestStoreCalls:
+    """Calls to the store, which are priced and limited for all hosts."""
+
+    def test_rows_that_change_together_cost_few_calls_a_host(self):
+        """Guards against a call by every host for each row that changes.
+
+        Half of the servers say one after another that they leave: each host
+        made 10 calls before, and 4 with a pause after changes.
+        """
+        net = fleet.deployment(divided=20, others=20)
+        before = net.store.calls
+        for number in range(20):
+            net.backends[f'm{number}'].is_draining = True
+        net.run(2 * fleetconfig.BEAT_MS)
+        assert net.store.calls - before < MOST_CALLS * len(net.worlds)
+
+
 class TestLostHost:
     """A host that is gone with its agent and its backend server."""
 
