--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -33,7 +33,10 @@
 
 
 class Fleet:
-    """The hosts and what is under way between them."""
+    """The hosts and what is under way between them.
+
+    A KB of a body takes `link_ms_per_kb` on the link of the host it goes to.
+    """
 
     def __init__(
         self,
@@ -55,6 +58,7 @@
         self.stopped = {}
         self.cut_off = []
         self.loses_plans = 0
+        self.link_ms_per_kb = 0
         self.outcomes = {}
         self.arrived = {}
         self.ended = {}
--- a/laburnumlatch/experiments/fleetload.py
+++ b/laburnumlatch/experiments/fleetload.py
@@ -48,6 +48,7 @@
     hot_share: float = 0
     first_hot_key: int = FIRST_HOT_KEY
     hot_keys: int = HOT_KEYS
+    body: bytes = b''
     leaving_share: float = 0
     callers: int = 0
     started: dict = attrs.Factory(dict)
@@ -111,7 +112,7 @@
         if left_ms <= 0:
             return
         host_id = fleet.rng.choice(sorted(fleet.worlds))
-        number = fleet.call(host_id, self.path, key, left_ms)
+        number = fleet.call(host_id, self.path, key, left_ms, body=self.body)
         self.started[number] = (since, repeats)
         if fleet.rng.random() < self.leaving_share:
             self._left.add(number)
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -10,6 +10,7 @@
 NESTED_MS = 600
 # A host that cannot be reached is noticed after this time.
 CONNECT_MS = 500
+BYTES_PER_KB = 1000
 
 
 @attrs.define(frozen=True)
@@ -29,11 +30,13 @@
         """Take the `fleet.Fleet` whose requests these are."""
         self._fleet = fleet
         self._forwards = {}
+        self._link_free = {}
 
     def carry_out(self, host_id, outbox):
         """Carry out what the agent of a host says about requests."""
         for sent in outbox.take(messages.SendForward):
-            self._fleet.later(fleetconfig.LINK_MS, self._forward, host_id, sent)
+            delay_ms = self._transit_ms(sent.host_id, sent.forward.body)
+            self._fleet.later(delay_ms, self._forward, host_id, sent)
         for send in outbox.take(messages.Send):
             self._run(host_id, send)
         for delivered in outbox.take(messages.Deliver):
@@ -47,6 +50,7 @@
                 answer=answered.answer,
                 wait_ms=answered.wait_ms,
                 work_ms=answered.work_ms,
+                held_ms=answered.held_ms,
             )
         for told in outbox.take(messages.ReplyRefusal):
             self._reply(
@@ -70,6 +74,13 @@
                     reason=messages.Reason.BROKEN,
                 )
 
+    def _transit_ms(self, host_id, body):
+        """Return when a body has come in over the link of a host."""
+        start = max(self._fleet.now, self._link_free.get(host_id, 0))
+        body_ms = int(len(body) * self._fleet.link_ms_per_kb / BYTES_PER_KB)
+        self._link_free[host_id] = start + body_ms
+        return start + body_ms - self._fleet.now + fleetconfig.LINK_MS
+
     def _end(self, told):
         self._fleet.outcomes[told.number] = told
         self._fleet.ended[told.number] = self._fleet.now
--- a/laburnumlatch/mesh/choosing.py
+++ b/laburnumlatch/mesh/choosing.py
@@ -27,9 +27,10 @@
 class SoonestEndPolicy(HostPolicy):
     """Chooses where the request is expected to end soonest.
 
-    Answers hosts of different speed, slow and failing ones, and those whose
-    queue is full. The own requests under way count at once, reports of other
-    hosts until they are older than the wait that they tell of.
+    Answers hosts of different speed, slow and failing ones, those whose queue
+    is full, and those whose link is. The own requests under way count at
+    once, reports of other hosts until they are older than the wait that they
+    tell of.
     """
 
     def choose(self, world, request, hosts):
@@ -38,11 +39,24 @@
         return min(
             hosts,
             key=lambda host: (
-                _cost_ms(world, request, host, usual_ms),
+                _cost_ms(world, request, host, usual_ms)
+                + self.transit_ms(world, request, host),
                 world.rng.random(),
             ),
         )
 
+    def transit_ms(self, world, request, host):
+        """Return what a request spends on its way to a host, if known.
+
+        The link of a host to which many send large bodies may be slower than
+        its queue, and its agent cannot tell of what has not arrived.
+        """
+        known = host.transits.get(request.route)
+        if known is None or host.host_id == world.host_id:
+            return 0
+        halvings = (world.now - known.learned) / SLOW_HALF_LIFE_MS
+        return known.mean_ms * 0.5**halvings
+
 
 class RandomPolicy(HostPolicy):
     """Chooses by chance: the baseline for `SoonestEndPolicy`."""
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -130,7 +130,8 @@
     """The whole answer came from the backend server or another agent.
 
     `wait_ms` is how long a new request would wait there, `work_ms` how long
-    one of the same route usually takes; None if unknown.
+    one of the same route usually takes, `held_ms` how long the other agent
+    had this one; None if unknown.
     """
 
     number: int
@@ -138,6 +139,7 @@
     answer: Answer
     wait_ms: int | None = None
     work_ms: int | None = None
+    held_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -224,13 +226,14 @@
     """Pass the answer back to the agent that forwarded the request.
 
     `wait_ms` is how long a new request would wait here, `work_ms` how long
-    one of the same route usually takes.
+    one of the same route usually takes, `held_ms` how long this one was here.
     """
 
     number: int
     answer: Answer
     wait_ms: int
     work_ms: int
+    held_ms: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -26,6 +26,8 @@
 MIN_REPEAT_MS = 120
 # The weight of one answer in the moving share of failures of a host.
 FAILED_WEIGHT = 0.1
+# The weight of one answer in what a request spends on its way to a host.
+TRANSIT_WEIGHT = 0.5
 
 _log = logs.logger('outcomes')
 
@@ -65,9 +67,19 @@
         _heard(world, request.host_id, ended.wait_ms, now)
         if host is not None and ended.work_ms is not None:
             host.work_ms[request.route] = ended.work_ms
+        if host is not None and ended.held_ms is not None:
+            _learn_transit(host, request, ended.held_ms, now)
     requests.deliver(world, request, ended.answer)
 
 
+def _learn_transit(host, request, held_ms, now):
+    """Learn what a request of a route spends between here and a host."""
+    took_ms = max(0, now - request.started - held_ms)
+    known = host.transits.setdefault(request.route, rows.Transit(took_ms))
+    known.mean_ms += TRANSIT_WEIGHT * (took_ms - known.mean_ms)
+    known.learned = now
+
+
 def _failed(world, request, failed, now):
     is_local = request.state == rows.RequestState.RUNNING
     counting.count(
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -134,6 +134,7 @@
                     message.answer,
                     message.wait_ms,
                     message.work_ms,
+                    message.held_ms,
                 )
             )
             return
@@ -344,6 +345,7 @@
             message.answer,
             message.wait_ms,
             message.work_ms,
+            message.held_ms,
         )
     return messages.ExchangeFailed(
         number=message.number,
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -39,6 +39,7 @@
     answer: messages.Answer
     wait_ms: int
     work_ms: int
+    held_ms: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -104,6 +104,7 @@
                 answer,
                 wait_ms=worktimes.expected_wait_ms(world),
                 work_ms=int(worktimes.work_ms(world, request.route)),
+                held_ms=age_ms,
             ),
         )
         return
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -43,6 +43,17 @@
     life: ranges.Life | None = None
 
 
+@attrs.define
+class Transit:
+    """What requests of a route spend on their way to a host and back, in ms.
+
+    `learned` is when the last of them was answered.
+    """
+
+    mean_ms: float
+    learned: int = 0
+
+
 @attrs.define
 class Host:
     """A host as this agent knows it.
@@ -50,7 +61,8 @@
     `in_flight` counts this agent's own requests there; `wait_ms` is how long
     a new request would wait, as last reported at `reported` and grown by own
     requests since. `work_ms` is what requests of a route usually take there,
-    as reported with answers. `failed_rate` is the moving share of answers
+    as reported with answers, `transits` what they spend on their way, as seen
+    here. `failed_rate` is the moving share of answers
     that told of a failure. Until `avoid_until` the host is used only if no
     other is left. `failures` counts tries in a row that did not reach it, the
     last of them at `failed_at`.
@@ -63,6 +75,7 @@
     reported: int = 0
     failed_rate: float = 0
     work_ms: dict[str, int] = attrs.Factory(dict)
+    transits: dict[str, Transit] = attrs.Factory(dict)
     avoid_until: int = 0
     failures: int = 0
     failed_at: int = 0
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -11,6 +11,7 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetload
 from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import choosing
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import throttling
@@ -39,6 +40,41 @@
         assert 1 - shares['now'] < misses_left * (1 - shares['before'])
 
 
+class _NoTransitPolicy(choosing.SoonestEndPolicy):
+    """The policy before it knew of links."""
+
+    def transit_ms(self, world, request, host):
+        """Leave out what the request spends on its way."""
+        return 0
+
+
+class TestLinks:
+    """Large bodies over the links of small hosts."""
+
+    def test_uploads_spread_over_links(self):
+        """Guards against a fast server whose link all uploads go through.
+
+        All hosts are in one failure domain. In time: 0.57 if what uploads
+        spend on their way is not known, 1.00 if it is.
+        """
+        found = []
+        for policy in (_NoTransitPolicy(), choosing.SoonestEndPolicy()):
+            hosts = [(f'b{number}', 'bokun', 'd0') for number in range(16)]
+            hosts += [(f'm{number}', 'moti', 'd0') for number in range(4)]
+            net = fleet.Fleet(hosts, policies={'host_policy': policy})
+            net.run(fleet.SETTLE_MS)
+            # 10 Mbit/s: 50 ms for each body, so half of what the links take.
+            net.link_ms_per_kb = 0.8
+            net.backends['m0'].work_ms = 70
+            load = fleetload.Load(
+                net, '/', 0.4, body=b'x' * 62_500, patience_ms=3000
+            )
+            load.run(6000)
+            found.append(load.share_in(fleetconfig.STATUS_TARGET_MS))
+        before, after = found
+        assert after > before + 0.2
+
+
 class TestPriorities:
     """Requests of different urgency for the same servers."""
 
