--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -2,7 +2,6 @@
 
 import enum
 import math
-import statistics
 
 import attrs
 
@@ -10,20 +9,20 @@
 from laburnumlatch.mesh import ranking
 
 CELL_COUNT = ranges.KEY_COUNT // ranges.KEYS_PER_CELL
-# Moves start when the busiest host has this much more than the mean, and go
-# on until it has this much. The gap keeps noise from moving keys.
+# Keys move from a host that has this much more than the mean, until it has
+# this much. The gap keeps noise from moving keys.
 START_RATIO = 1.2
 STOP_RATIO = 1.06
 # Keys that move wait for the work that runs on them, so few move at once:
 # so many, or so many for each host.
 MAX_MOVES = 12
 MAX_MOVES_PER_HOST = 0.5
-# Moves start only if a host has so many standard deviations more than the
-# mean, or as many as the highest of all hosts has by chance: a few requests
-# that meet one host move nothing.
+# The host must also have so many standard deviations more than the mean: a
+# few requests that meet one host by chance move nothing.
 CLEAR_DEVIATIONS = 1.5
-# A cell that no host has room for moves to one that is so much faster.
-FASTER_RATIO = 1.5
+# A cell that no host has room for moves to one that is so much faster; speeds
+# are estimated, and a cell that moves is not served for some time.
+FASTER_RATIO = 2
 # Load that a key range with no requests counts for, in requests a second: an
 # unseen key may become busy.
 IDLE_RATE = 0.0002
@@ -119,44 +118,24 @@
     """Return the `Search` for moves that bring load over capacity to the mean.
 
     `by_cell` are requests a second, counted over `counted_s`. Pieces that are
-    on their way stay. Each move takes cells from the busiest host of which
-    something can move to the one with most room.
+    on their way stay. Each move takes cells from the busiest host that has
+    too much, and of which something can move, to the one with most room.
     """
     if len(candidates) < 2:
         return Search(Outcome.EVEN)
     state = _State(pieces, by_cell, candidates, counted_s)
     limit = max(MAX_MOVES, int(len(candidates) * MAX_MOVES_PER_HOST))
     found = []
-    met = {Outcome.EVEN}
-    least_use = START_RATIO
     while len(found) < limit:
         source, use = state.sources.highest()
-        if use <= least_use:
-            outcome = max(met, key=_RANKS.index)
-            return Search(outcome, *state.busiest(), tuple(found))
-        move = None
-        if not found and not state.is_clear(source):
-            met.add(Outcome.UNCLEAR)
-        else:
-            move = state.next_move(source)
-            met.add(Outcome.STUCK if move is None else Outcome.DONE)
-        if move is None:
-            state.sources.remove(source)
-        else:
+        if use <= STOP_RATIO:
+            return Search(state.outcome(), *state.busiest(), tuple(found))
+        move = state.relieve(source)
+        if move is not None:
             found.append(move)
-            least_use = STOP_RATIO
     return Search(Outcome.LIMITED, *state.busiest(), tuple(found))
 
 
-def _clear_deviations(count):
-    """Return by how many standard deviations one of `count` hosts must lead.
-
-    Blom's approximation tells by how many the highest leads by chance.
-    """
-    share = (count - 3 / 8) / (count + 1 / 4)
-    return max(CLEAR_DEVIATIONS, statistics.NormalDist().inv_cdf(share))
-
-
 @attrs.define(frozen=True, order=True)
 class _Part:
     """Keys that could move; `miss` is how far their load is from the aim."""
@@ -180,7 +159,6 @@
     def __init__(self, pieces, by_cell, candidates, counted_s):
         self._by_cell = by_cell
         self._counted_s = counted_s
-        self._clear_deviations = _clear_deviations(len(candidates))
         self._capacity = {one.host_id: one.capacity for one in candidates}
         self._pieces = {one.host_id: [] for one in candidates}
         self._loads = {one.host_id: 0 for one in candidates}
@@ -193,6 +171,8 @@
         capacity = sum(self._capacity.values())
         self._mean = max(sum(self._loads.values()) / capacity, MIN_RATE)
         self._cell_parts = {}
+        self._relieved = set()
+        self._met = {Outcome.EVEN}
         self.sources = ranking.Ranking({
             host_id: self._use(host_id) for host_id in self._loads
         })
@@ -205,12 +185,36 @@
         host_id = max(self._loads, key=self._use)
         return host_id, self._use(host_id)
 
-    def is_clear(self, host_id):
-        """Tell whether a host hardly has more than the mean by chance."""
+    def outcome(self):
+        """Return how the search has ended, if it was not limited."""
+        return max(self._met, key=_RANKS.index)
+
+    def relieve(self, source):
+        """Return a move from a host that has too much.
+
+        None if it has not, or if nothing can move: then the host is no
+        source any more.
+        """
+        move = None
+        if source in self._relieved or self._has_too_much(source):
+            move = self._next_move(source)
+            self._met.add(Outcome.STUCK if move is None else Outcome.DONE)
+        elif self._use(source) > START_RATIO:
+            self._met.add(Outcome.UNCLEAR)
+        if move is None:
+            self.sources.remove(source)
+        else:
+            self._relieved.add(source)
+        return move
+
+    def _has_too_much(self, host_id):
+        """Tell whether a host has more than the mean, hardly by chance."""
+        if self._use(host_id) <= START_RATIO:
+            return False
         deviation = math.sqrt(self._loads[host_id] / self._counted_s)
-        return self._excess(host_id) >= self._clear_deviations * deviation
+        return self._excess(host_id) >= CLEAR_DEVIATIONS * deviation
 
-    def next_move(self, source):
+    def _next_move(self, source):
         """Take the best part of the keys of a host; None if none fits."""
         move = self._move_of_hot_cell(source)
         if move is not None:
