--- a/laburnumlatch/core/wire.py
+++ b/laburnumlatch/core/wire.py
@@ -1,5 +1,7 @@
 """Encoding of messages between agents, and of rows in the store."""
 
+import zlib
+
 import cattrs
 import msgpack
 from cattrs import errors as cattrs_errors
@@ -8,6 +10,9 @@
 from laburnumlatch.core import errors
 
 FORMAT_VERSION = 1
+# The start of a zlib stream; no packed row starts so, as rows are maps.
+COMPRESSED_START = b'x'
+COMPRESSION_LEVEL = 6
 
 _STRUCTURE_ERRORS = (
     cattrs_errors.BaseValidationError,
@@ -16,7 +21,7 @@
     KeyError,
     IndexError,
 )
-_UNPACK_ERRORS = (msgpack.UnpackException, *_STRUCTURE_ERRORS)
+_UNPACK_ERRORS = (msgpack.UnpackException, zlib.error, *_STRUCTURE_ERRORS)
 
 _converter = msgpack_preconf.make_converter(forbid_extra_keys=True)
 
@@ -63,9 +68,19 @@
     return msgpack.packb(_converter.unstructure(row))
 
 
+def pack_compressed(row):
+    """Return the compressed bytes of a row that may be long.
+
+    `unpack` takes them like those of `pack`.
+    """
+    return zlib.compress(pack(row), COMPRESSION_LEVEL)
+
+
 def unpack(body, kind):
     """Return an attrs row of class `kind`; raise `errors.WireError`."""
     try:
+        if body.startswith(COMPRESSED_START):
+            body = zlib.decompress(body)
         return _converter.structure(msgpack.unpackb(body), kind)
     except _UNPACK_ERRORS as error:
         raise errors.WireError(f'bad {kind.__name__}: {error}') from error
--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -17,6 +17,9 @@
 # so many, or so many for each host.
 MAX_MOVES = 12
 MAX_MOVES_PER_HOST = 0.5
+# With so many pieces for each host only whole ones move: each change of a plan
+# is told to all hosts, and its row in the store is bounded.
+MAX_PIECES_PER_HOST = 12
 # The host must also have so many standard deviations more than the mean: a
 # few requests that meet one host by chance move nothing.
 CLEAR_DEVIATIONS = 1.5
@@ -170,6 +173,8 @@
                 self._pieces[piece.host_id].append((piece.start, piece.end))
         capacity = sum(self._capacity.values())
         self._mean = max(sum(self._loads.values()) / capacity, MIN_RATE)
+        most_pieces = MAX_PIECES_PER_HOST * len(candidates)
+        self._is_split = len(pieces) >= most_pieces
         self._cell_parts = {}
         self._relieved = set()
         self._met = {Outcome.EVEN}
@@ -288,18 +293,30 @@
         return (load + own_load) / self._capacity[host_id]
 
     def _cells(self, host_id):
-        """Return the cells of a host that can move, the hottest first."""
+        """Return the cells of a host that can move, the hottest first.
+
+        Where no more ranges are to be split, these are whole ranges.
+        """
         if host_id not in self._cell_parts:
             parts = [
-                self._part_of_cell(cell, keys)
+                part
                 for keys in self._pieces[host_id]
-                for cell in range(cell_of(keys[0]), cell_of(keys[1]) + 1)
-                if cell in self._by_cell
+                for part in self._cells_of(keys)
             ]
             parts.sort(key=_load_of_part, reverse=True)
             self._cell_parts[host_id] = parts
         return self._cell_parts[host_id]
 
+    def _cells_of(self, keys):
+        cells = range(cell_of(keys[0]), cell_of(keys[1]) + 1)
+        if self._is_split:
+            return [_Part(0, *keys, sum(self._rate(cell) for cell in cells))]
+        return [
+            self._part_of_cell(cell, keys)
+            for cell in cells
+            if cell in self._by_cell
+        ]
+
     def _part_of_cell(self, cell, keys, wanted=0):
         """Return the part of a range that lies in a cell."""
         start = max(cell * ranges.KEYS_PER_CELL, keys[0])
@@ -310,6 +327,8 @@
     def _parts(self, keys, wanted):
         """Return parts of a range whose load comes near to `wanted`."""
         cells = range(cell_of(keys[0]), cell_of(keys[1]) + 1)
+        if self._is_split:
+            return self._whole(keys, cells, wanted)
         found = []
         first, load = self._run(cells, wanted)
         if first is not None:
@@ -321,6 +340,13 @@
             found.append(_Part(abs(wanted - load), start, keys[1], load))
         return found or self._fullest_cell(keys, cells, wanted)
 
+    def _whole(self, keys, cells, wanted):
+        """Return a whole range if it helps where it goes."""
+        load = sum(self._rate(cell) for cell in cells)
+        if not LEAST_OF_WANTED * wanted <= load <= MOST_OF_WANTED * wanted:
+            return []
+        return [_Part(abs(wanted - load), *keys, load)]
+
     def _run(self, cells, wanted):
         """Return the last cell of a run with about `wanted` load, and that."""
         load = 0
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -155,7 +155,8 @@
         storemsg.StorePut(
             ticket,
             f'{members.PLAN_PREFIX}{plan.service}',
-            wire.pack(plan),
+            # A row of the store holds 64 KB, some 500 pieces as they are.
+            wire.pack_compressed(plan),
             0 if row is None else row.row_version,
             ((role.ROW, world.role.row_version),),
         )
--- a/tests/test_mesh_balancing.py
+++ b/tests/test_mesh_balancing.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from laburnumlatch.core import wire
 from laburnumlatch.experiments import fleet
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetload
@@ -24,6 +25,8 @@
 MOST_BESIDE_HOT_KEY = 0.2
 KEY_SKEW = 0.55
 COUNTED_S = 5.8
+# What a row of the users' store may hold.
+ROW_BYTES = 65_536
 HOT_CELL = 3172
 OTHER_HOT_KEY = 50_000
 
@@ -123,6 +126,49 @@
         assert max(use.values()) < CALM_RATIO
 
 
+class TestPieces:
+    """How far the key space of a service is split."""
+
+    def test_plan_stays_bounded(self):
+        """Guards against a plan that no longer fits its row in the store.
+
+        Without a bound the pieces of 47 hosts went from 70 to 430 in 30 s.
+        """
+        rng = random.Random(1)
+        hosts = hosts_of(9, 1)
+        pieces = equal_pieces(hosts)
+        for _ in range(60):
+            rates = rates_of(9, rng.random())
+            found = balancing.search(pieces, rates, hosts, COUNTED_S)
+            pieces = ranges.join(moved(pieces, found.moves))
+        most = balancing.MAX_PIECES_PER_HOST * len(hosts)
+        assert len(pieces) < most + 2 * balancing.MAX_MOVES
+        use = balancing.use_by_host(pieces, rates, hosts)
+        assert max(use.values()) < HOT_RATIO
+
+    def test_longest_plan_fits_its_row(self):
+        """Guards against takeovers that the store refuses to keep.
+
+        Each cell is a piece, and an eighth of them is on the way. A piece
+        takes 111 to 136 bytes if it is not compressed.
+        """
+        pieces = tuple(
+            ranges.Piece(
+                cell * ranges.KEYS_PER_CELL,
+                (cell + 1) * ranges.KEYS_PER_CELL - 1,
+                f'sidecar-kaneshie-{cell * 7 % 300}',
+                ranges.Life(f'i-{cell * 7 % 300:010x}', 1792176098850),
+                cell * 31 % 5000,
+                f'sidecar-kaneshie-{cell * 11 % 300}' * (cell % 8 == 0),
+            )
+            for cell in range(balancing.CELL_COUNT)
+        )
+        plan = ranges.Plan('dealer-credits', 1, pieces)
+        body = wire.pack_compressed(plan)
+        assert len(body) < ROW_BYTES
+        assert wire.unpack(body, ranges.Plan) == plan
+
+
 class TestHotKey:
     """One key that is more than any host can serve."""
 
