--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -31,7 +31,7 @@
     'requests_repeated': 'Safe requests sent once more.',
     'exchanges_failed': 'Exchanges that ended without an answer.',
     'calls_ended': 'Calls of requests that run here, by the route of the '
-    'request; late ones were answered after its target.',
+    'request; late ones were answered after its target and their own.',
     'balance_rounds': 'Searches for keys to move, by the planner.',
     'store_calls': 'Answers of the store by the part that asked.',
     'grants': 'Grants at the backend server by outcome.',
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -80,7 +80,7 @@
     is_in_time = age_ms <= request.target_ms
     if request.parent_route:
         call_end = throttling.CallEnd.IN_TIME
-        if world.now > request.parent_due:
+        if not is_in_time and world.now > request.parent_due:
             call_end = throttling.CallEnd.LATE
         throttling.count_call(world, request.parent_route, call_end)
     decisions.conclude(
--- a/laburnumlatch/mesh/throttling.py
+++ b/laburnumlatch/mesh/throttling.py
@@ -31,7 +31,8 @@
 class CallEnd(enum.StrEnum):
     """How a call of a running request ended.
 
-    `LATE`: when the target of the request that made it had passed.
+    `LATE`: after its own target, when that of the request that made it had
+    passed too.
     """
 
     IN_TIME = 'in-time'
@@ -94,7 +95,8 @@
 
     A call that was answered too late for the request that made it counts as
     failed: the service that is called has more work than it can do. One that
-    only missed its own target has cost the caller nothing.
+    only missed its own target has cost the caller nothing, and one within it
+    is not why its request is late.
     """
     counting.count(world, 'calls_ended', route=route, outcome=end)
     throttle = world.throttles.get(route)
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -173,6 +173,20 @@
         load.run(4000)
         assert load.share_in(LOOK_MS) == 1
 
+    def test_calls_in_time_refuse_nobody(self):
+        """Guards against requests refused for calls that are not at fault.
+
+        The server itself takes longer than the target of its requests.
+        """
+        net = fleet.deployment(divided=6, others=4)
+        for backend in net.backends.values():
+            is_caller = backend.service == fleetconfig.SERVICE
+            backend.calls = int(is_caller)
+            backend.work_ms = 650 if is_caller else 50
+        load = fleetload.Load(net, '/look/', 0.2)
+        load.run(4000)
+        assert load.share_in(fleetconfig.LOOK_TIMEOUT_MS) == 1
+
     def _shares(self, monkeypatch, module, name, *values):
         """Return the shares answered in time with each value of a setting."""
         found = []
