--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -91,6 +91,9 @@
     result = []
     for piece in pieces:
         inside = sorted({cut for cut in cuts if piece.start < cut <= piece.end})
+        if not inside:
+            result.append(piece)
+            continue
         starts = [piece.start, *inside]
         ends = [*(cut - 1 for cut in inside), piece.end]
         result.extend(
