--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -33,8 +33,11 @@
 # Key of a transfer's `info`: whether the empty line after the head has come.
 HEAD_IS_WHOLE = 'head_is_whole'
 STATUS_LINE_START = b'HTTP/'
-# The most that one answer may have: several may come without end at a time.
-MAX_ANSWER_BYTES = 4_194_304
+# All answers that are being taken in, as a part of the process's memory:
+# several may come without end at a time.
+ANSWERS_RATE = 0.3
+# Key of a transfer's `info`: how many bytes of its body have been taken in.
+TAKEN_BYTES = 'taken_bytes'
 STATUS_OK = 200
 # Statuses of one kind share their hundreds.
 SUCCESS_UNIT = 100
@@ -55,9 +58,16 @@
     closed, so that what else is on its way cannot meet the next request.
 
     An answer whose head has no end fails: libcurl takes what there is of it
-    for a whole answer if the connection is then closed.
+    for a whole answer if the connection is then closed. So does one with
+    which all bodies that are being taken in exceed `most_bytes`.
     """
 
+    def initialize(self, most_bytes, **parameters):
+        """Set up as the library does, in place of a constructor."""
+        super().initialize(**parameters)
+        self._most_bytes = most_bytes
+        self._taken_bytes = 0
+
     def _curl_setup_request(self, curl, request, buffer, headers):
         super()._curl_setup_request(curl, request, buffer, headers)
         curl.info[HEAD_IS_WHOLE] = False
@@ -65,6 +75,9 @@
             self._take_line, curl.info, request.header_callback
         )
         curl.setopt(pycurl.HEADERFUNCTION, take_line)
+        curl.info[TAKEN_BYTES] = 0
+        take_bytes = functools.partial(self._take_bytes, curl.info)
+        curl.setopt(pycurl.WRITEFUNCTION, take_bytes)
 
     def _take_line(self, info, header_callback, line):
         headers = info['headers']
@@ -77,7 +90,16 @@
             return None
         return None if header_callback(headers) else BREAK_OFF
 
+    def _take_bytes(self, info, chunk):
+        if self._taken_bytes + len(chunk) > self._most_bytes:
+            info['body_too_large'] = True
+            return BREAK_OFF
+        self._taken_bytes += len(chunk)
+        info[TAKEN_BYTES] += len(chunk)
+        return info['buffer'].write(chunk)
+
     def _finish(self, curl, curl_error=None, curl_message=None):
+        self._taken_bytes -= curl.info[TAKEN_BYTES]
         if curl_error is None and not curl.info[HEAD_IS_WHOLE]:
             super()._finish(curl, pycurl.E_PARTIAL_FILE, CUT_HEAD)
         else:
@@ -94,13 +116,16 @@
         backendmsg.TakeBack,
     )
 
-    def __init__(self, post):
-        """Open nothing until there is something to send."""
+    def __init__(self, post, memory_bytes):
+        """Open nothing until there is something to send.
+
+        `memory_bytes` is what this process may use in all.
+        """
         super().__init__(post)
         self._client = _CheckingClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
-            max_body_size=MAX_ANSWER_BYTES,
+            most_bytes=int(memory_bytes * ANSWERS_RATE),
         )
         self._exchanges = {}
         self._tasks = set()
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -59,7 +59,7 @@
                 numbers,
                 time_source,
             ),
-            backendclient.BackendClient(post),
+            backendclient.BackendClient(post, settings.memory_bytes),
             configlink.ConfigLink(post, store),
             storelink.StoreLink(post, store),
         ]
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -16,10 +16,12 @@
     'Content-Length: 5\r\n\r\n{}'
 )
 
-# The smallest agents have 200 MB; an answer without end must stay far below,
-# with what the connection itself holds.
-MOST_WRITTEN_BYTES = 16 * 2**20
+# What agents may use here, and an answer without end must stay far below, with
+# what the connection itself holds.
+MEMORY_BYTES = 40 * 2**20
+MOST_WRITTEN_BYTES = 20 * 2**20
 ENDLESS_BYTES = 64 * 2**20
+LARGE_BYTES = 8 * 2**20
 
 
 class Server:
@@ -70,7 +72,7 @@
         ])
         await server.start()
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         failed = await exchange(client, events, server, 'r1')
         assert failed.phase == messages.Phase.SENT
         assert failed.detail == backendclient.OTHER_REQUEST
@@ -84,7 +86,7 @@
         server = Server([[('r1', 'first')], [('r2', 'other')]])
         await server.start()
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         for request_id in ('r1', 'r2'):
             ended = await exchange(client, events, server, request_id)
             assert ended.answer.status == 200
@@ -120,7 +122,7 @@
     server = Script(answer)
     await server.start()
     events = asyncio.Queue()
-    client = backendclient.BackendClient(events.put_nowait)
+    client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
     event = await exchange(client, events, server, 'r1')
     await client.stop()
     return event
@@ -177,7 +179,7 @@
     async def test_nobody_listens(self):
         """Guards against a booking that is told unknown without a reason."""
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         event = await exchange(client, events, Script(b''), 'r1')
         assert event.phase == messages.Phase.UNSENT
         await client.stop()
@@ -188,7 +190,7 @@
 
     async def test_message_after_stop_is_no_error(self):
         """Guards against a last tick that fails halfway."""
-        client = backendclient.BackendClient(print)
+        client = backendclient.BackendClient(print, MEMORY_BYTES)
         await client.stop()
         head = messages.Head('GET', '/x', 'h.example', (), 'r1')
         client.carry_out(
@@ -275,7 +277,7 @@
 async def ask(server, *calls):
     """Make grants and releases one after another; return the answers."""
     events = asyncio.Queue()
-    client = backendclient.BackendClient(events.put_nowait)
+    client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
     answers = []
     for call in calls:
         client.carry_out(call)
@@ -307,7 +309,7 @@
         server = Repeating([read, answer_of(200, 'own')])
         await server.start()
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         await exchange(client, events, server, 'r1')
         client.carry_out(take_back(server))
         taken = await asyncio.wait_for(events.get(), 3)
@@ -321,7 +323,7 @@
         server = Repeating([refusal, ANSWER.format('r2', 'right').encode()])
         await server.start()
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         first = await exchange(client, events, server, 'r1')
         assert first.phase == messages.Phase.REFUSED
         second = await exchange(client, events, server, 'r2')
@@ -364,12 +366,35 @@
         server = Endless(start)
         await server.start()
         events = asyncio.Queue()
-        client = backendclient.BackendClient(events.put_nowait)
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
         event = await exchange(client, events, server, 'r1')
         assert event.phase == messages.Phase.SENT
         assert server.written < MOST_WRITTEN_BYTES
         await client.stop()
 
+    async def test_several_at_once_share_a_bound(self):
+        """Guards against a bound that holds for each answer only."""
+        server = Endless(proven(b'\r\n'))
+        await server.start()
+        events = asyncio.Queue()
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
+        told = [exchange(client, events, server, 'r1') for _ in range(4)]
+        failed = await asyncio.gather(*told)
+        assert {one.phase for one in failed} == {messages.Phase.SENT}
+        assert server.written < 2 * MOST_WRITTEN_BYTES
+        await client.stop()
+
+    async def test_room_is_given_back(self):
+        """Guards against answers refused for earlier ones."""
+        server = Script(proven(b'\r\n%s' % bytes(LARGE_BYTES)))
+        await server.start()
+        events = asyncio.Queue()
+        client = backendclient.BackendClient(events.put_nowait, MEMORY_BYTES)
+        for _ in range(3):
+            ended = await exchange(client, events, server, 'r1')
+            assert len(ended.answer.body) == LARGE_BYTES
+        await client.stop()
+
     async def test_grant_is_broken_off(self):
         """Guards against the same at a grant."""
         server = Endless(b'HTTP/1.1 200 OK\r\n\r\n')
