--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -43,7 +43,6 @@
 SUCCESS_UNIT = 100
 STATUS_NOT_ASKED = 400
 STATUS_MISDIRECTED = 421
-STATUS_CONFLICT = 409
 # Fields that libcurl adds by itself unless they are set to nothing.
 _ADDED_BY_CLIENT = ('Accept', 'User-Agent', 'Content-Type')
 
