--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -44,6 +44,7 @@
         self._server = None
         self._dialed = {}
         self._asked = {}
+        self._told_plans = {}
         self._checks = None
 
     async def start(self):
@@ -71,9 +72,8 @@
             outbound = self._outbound(message.host_id, message.address)
             outbound.ask(message.forward)
         elif isinstance(message, messages.SendPlan):
-            packed = wire.pack(message.plan)
-            frame = peermsg.Plan(packed, message.row_version)
-            self._outbound(message.host_id, message.address).tell(frame)
+            outbound = self._outbound(message.host_id, message.address)
+            outbound.tell(self._plan_frame(message))
         elif isinstance(message, messages.CancelForward):
             outbound = self._dialed.get(message.host_id)
             if outbound is not None:
@@ -110,6 +110,15 @@
         if self._dialed.get(host_id) is outbound:
             self._dialed.pop(host_id)
 
+    def _plan_frame(self, message):
+        """Return the frame of a plan, made once for all hosts."""
+        told = self._told_plans.get(message.plan.service)
+        if told is None or told.row_version != message.row_version:
+            packed = wire.pack_compressed(message.plan)
+            told = peermsg.Plan(packed, message.row_version)
+            self._told_plans[message.plan.service] = told
+        return told
+
     def _outbound(self, host_id, address):
         outbound = self._dialed.get(host_id)
         if outbound is None or outbound.address != address:
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 from laburnumlatch.core import clock
+from laburnumlatch.core import wire
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
 from laburnumlatch.mesh import ranges
@@ -123,6 +125,24 @@
         assert told == messages.PlanTold(plan, 9)
         await agents.stop()
 
+    async def test_plan_is_packed_once_for_all_hosts(self, monkeypatch):
+        """Guards against a planner that has no time for leases."""
+        pack = mock.Mock(return_value=b'')
+        monkeypatch.setattr(wire, 'pack', pack)
+        monkeypatch.setattr(wire, 'pack_compressed', pack)
+        agents = Agents()
+        await agents.start(17460)
+        life = ranges.Life('i-1', 17)
+        for version in (3, 4):
+            owners = [('a', life), ('b', life)]
+            plan = ranges.Plan('s', version, ranges.equal(owners))
+            for _ in range(5):
+                agents.links['a'].carry_out(
+                    messages.SendPlan('b', agents.ports['b'], plan, version),
+                )
+        assert pack.call_count == 2
+        await agents.stop()
+
     async def test_bytes_that_are_no_frames(self):
         """Guards against a stranger's bytes that end the agent."""
         agents = Agents()
