--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -1,7 +1,6 @@
 """Front end to the local backend server: requests, grants and releases."""
 
 import asyncio
-import functools
 import json
 
 import pycurl
@@ -14,6 +13,7 @@
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import messages
+from laburnumlatch.platform import checkingclient
 from laburnumlatch.platform import durations
 from laburnumlatch.platform import wire
 
@@ -25,19 +25,11 @@
 RELEASE_TIMEOUT_MS = 6000
 MAX_CLIENTS = 96
 FAILED = 599
-# Any number but that of the bytes taken makes libcurl end the transfer.
-BREAK_OFF = -1
 OTHER_REQUEST = 'the answer belongs to another request'
 NO_ID = 'the refusal may belong to an earlier request'
-CUT_HEAD = 'the head of the answer has no end'
-# Key of a transfer's `info`: whether the empty line after the head has come.
-HEAD_IS_WHOLE = 'head_is_whole'
-STATUS_LINE_START = b'HTTP/'
 # All answers that are being taken in, as a part of the process's memory:
 # several may come without end at a time.
 ANSWERS_RATE = 0.3
-# Key of a transfer's `info`: how many bytes of its body have been taken in.
-TAKEN_BYTES = 'taken_bytes'
 STATUS_OK = 200
 # Statuses of one kind share their hundreds.
 SUCCESS_UNIT = 100
@@ -49,62 +41,6 @@
 _log = logs.logger('backend')
 
 
-class _CheckingClient(curlclient.StoppableCurlClient):
-    """Breaks off answers that are refused by their header fields.
-
-    Here the `header_callback` of a request takes all fields at their end, and
-    returns whether the answer may go on. A connection that is broken off is
-    closed, so that what else is on its way cannot meet the next request.
-
-    An answer whose head has no end fails: libcurl takes what there is of it
-    for a whole answer if the connection is then closed. So does one with
-    which all bodies that are being taken in exceed `most_bytes`.
-    """
-
-    def initialize(self, most_bytes, **parameters):
-        """Set up as the library does, in place of a constructor."""
-        super().initialize(**parameters)
-        self._most_bytes = most_bytes
-        self._taken_bytes = 0
-
-    def _curl_setup_request(self, curl, request, buffer, headers):
-        super()._curl_setup_request(curl, request, buffer, headers)
-        curl.info[HEAD_IS_WHOLE] = False
-        take_line = functools.partial(
-            self._take_line, curl.info, request.header_callback
-        )
-        curl.setopt(pycurl.HEADERFUNCTION, take_line)
-        curl.info[TAKEN_BYTES] = 0
-        take_bytes = functools.partial(self._take_bytes, curl.info)
-        curl.setopt(pycurl.WRITEFUNCTION, take_bytes)
-
-    def _take_line(self, info, header_callback, line):
-        headers = info['headers']
-        self._curl_header_callback(headers, None, line)
-        info[HEAD_IS_WHOLE] = info[HEAD_IS_WHOLE] or not line.strip()
-        if line.startswith(STATUS_LINE_START):
-            # An interim answer has a head of its own.
-            info[HEAD_IS_WHOLE] = False
-        if line.strip() or header_callback is None:
-            return None
-        return None if header_callback(headers) else BREAK_OFF
-
-    def _take_bytes(self, info, chunk):
-        if self._taken_bytes + len(chunk) > self._most_bytes:
-            info['body_too_large'] = True
-            return BREAK_OFF
-        self._taken_bytes += len(chunk)
-        info[TAKEN_BYTES] += len(chunk)
-        return info['buffer'].write(chunk)
-
-    def _finish(self, curl, curl_error=None, curl_message=None):
-        self._taken_bytes -= curl.info[TAKEN_BYTES]
-        if curl_error is None and not curl.info[HEAD_IS_WHOLE]:
-            super()._finish(curl, pycurl.E_PARTIAL_FILE, CUT_HEAD)
-        else:
-            super()._finish(curl, curl_error, curl_message)
-
-
 class BackendClient(frontends.FrontEnd):
     """Talks to the one backend server beside this agent."""
 
@@ -121,7 +57,7 @@
         `memory_bytes` is what this process may use in all.
         """
         super().__init__(post)
-        self._client = _CheckingClient(
+        self._client = checkingclient.CheckingClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
             most_bytes=int(memory_bytes * ANSWERS_RATE),
