Tell where a late pass of the loop spends its time

The selector of the loop marks where a pass begins and ends, the engine what each system and each kind of outgoing message took. A pass of 100 ms or more leaves one line with the parts that took most and the messages handled.

No logic changes. A clock reading a system is added to each tick.

--- a/laburnumlatch/core/engine.py
+++ b/laburnumlatch/core/engine.py
@@ -3,17 +3,22 @@
 import asyncio
 
 from laburnumlatch.core import clock
+from laburnumlatch.core import looptimes
 
 
 class Engine:
     """Runs ticks when a message has arrived or a due time is reached."""
 
-    def __init__(self, world, tick, time_source):
-        """Call `tick(world, now)`; `time_source` is a `clock.Clock`."""
+    def __init__(self, world, tick, time_source, times):
+        """Call `tick(world, now, note)`; `time_source` is a `clock.Clock`.
+
+        `times`, a `looptimes.LoopTimes`, learns what each part spends.
+        """
         self._loop = asyncio.get_running_loop()
         self._clock = time_source
         self._world = world
         self._tick_world = tick
+        self._times = times
         self._takers = {}
         self._soon = None
         self._later = None
@@ -40,10 +45,19 @@
 
     def _tick(self):
         self._soon = None
-        self._tick_world(self._world, self._clock.now())
+        times = self._times
+        times.note(looptimes.INPUT)
+        for kind, number in self._world.inbox.counts():
+            times.count(kind, number)
+        self._tick_world(self._world, self._clock.now(), times.note)
         for kind, carry_out in self._takers.items():
-            for message in self._world.outbox.take(kind):
+            posted = self._world.outbox.take(kind)
+            if not posted:
+                continue
+            for message in posted:
                 carry_out(message)
+            times.count(kind, len(posted))
+            times.note(kind.__name__)
         self._schedule()
 
     def _schedule(self):
--- /dev/null
+++ b/laburnumlatch/core/looptimes.py
@@ -0,0 +1,97 @@
+"""Where the loop spends its time, and a line about each pass that is late.
+
+A pass is what the loop does between two looks at its sockets. Input that
+arrives in a pass waits for its end, so a long one delays everything here.
+"""
+
+import heapq
+import selectors
+import time
+
+from laburnumlatch.core import clock
+from laburnumlatch.core import logs
+
+# Callers count in hundreds of ms; agents give up a silent peer after 800.
+LATE_MS = 100
+# So many parts of a late pass are named.
+TOLD = 4
+# What runs outside systems: reading, decoding, timers of libraries.
+INPUT = 'input'
+
+_log = logs.logger('loop')
+
+
+class LoopTimes:
+    """Times of the present pass, by part of the program."""
+
+    def __init__(self):
+        """Start before the first pass."""
+        self._began = None
+        self._marks = []
+        self._handled = {}
+
+    def begin(self):
+        """Note that the loop has looked at its sockets."""
+        self._began = time.monotonic_ns()
+
+    def note(self, part):
+        """Count the time since the last note as spent in `part`."""
+        self._marks.append((part, time.monotonic_ns()))
+
+    def count(self, kind, number):
+        """Count messages of a class that the pass has handled."""
+        if number:
+            name = kind.__name__
+            self._handled[name] = self._handled.get(name, 0) + number
+
+    def end(self):
+        """Write a line if the pass was late, and forget it."""
+        if self._began is not None:
+            self.note(INPUT)
+            took_ms = (self._marks[-1][1] - self._began) // clock.NS_PER_MS
+            if took_ms >= LATE_MS:
+                self._tell(took_ms)
+        self._marks.clear()
+        self._handled.clear()
+
+    def _tell(self, took_ms):
+        spent_ms = {
+            part: spent_ns // clock.NS_PER_MS
+            for part, spent_ns in self._spent_ns().items()
+        }
+        _log.notice(
+            'pass-late',
+            took_ms=took_ms,
+            spent_ms=_highest(spent_ms),
+            handled=_highest(self._handled),
+            processor_s=round(time.process_time(), 2),
+        )
+
+    def _spent_ns(self):
+        spent_ns = {}
+        last = self._began
+        for part, marked in self._marks:
+            spent_ns[part] = spent_ns.get(part, 0) + marked - last
+            last = marked
+        return spent_ns
+
+
+class TimedSelector(selectors.DefaultSelector):
+    """A selector that tells `LoopTimes` where passes begin and end."""
+
+    def __init__(self, times):
+        """Tell `times`, a `LoopTimes`."""
+        super().__init__()
+        self._times = times
+
+    def select(self, timeout=None):
+        """Wait for sockets like the selector of the library."""
+        self._times.end()
+        ready = super().select(timeout)
+        self._times.begin()
+        return ready
+
+
+def _highest(figures):
+    names = heapq.nlargest(TOLD, figures, key=figures.get)
+    return {name: figures[name] for name in names if figures[name]}
--- a/laburnumlatch/core/mailbox.py
+++ b/laburnumlatch/core/mailbox.py
@@ -46,6 +46,10 @@
         """Return all messages of the class `kind` and leave them here."""
         return tuple(self._by_kind.get(kind, ()))
 
+    def counts(self):
+        """Return (kind, number of messages) of all that waits."""
+        return [(kind, len(found)) for kind, found in self._by_kind.items()]
+
     def clear(self):
         """Remove all messages and return how many there were."""
         left = self._size
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -39,8 +39,18 @@
 )
 
 
-def tick(world, now):
-    """Run every system once at `now`, in ms of the agent's clock."""
+_NAMED = tuple(
+    (system.__name__.rpartition('.')[2], system.run) for system in ORDER
+)
+
+
+def tick(world, now, note=None):
+    """Run every system once at `now`, in ms of the agent's clock.
+
+    `note`, if given, takes the name of each system that has run.
+    """
     world.begin_tick(now)
-    for system in ORDER:
-        system.run(world, now)
+    for name, run in _NAMED:
+        run(world, now)
+        if note is not None:
+            note(name)
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -1,6 +1,7 @@
 """Builds an agent from the platform's settings and runs it."""
 
 import asyncio
+import functools
 import itertools
 import secrets
 import signal
@@ -10,6 +11,7 @@
 from laburnumlatch.core import engine
 from laburnumlatch.core import errors
 from laburnumlatch.core import logs
+from laburnumlatch.core import looptimes
 from laburnumlatch.core import storelink
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
@@ -32,16 +34,19 @@
 class Runner:
     """One agent: its world, its front ends and the loop that joins them."""
 
-    def __init__(self, settings, path, log_handler):
+    def __init__(self, settings, path, log_handler, times):
         """Build the agent inside a running loop.
 
-        `path` is the file of the `settings`, which may change.
+        `path` is the file of the `settings`, which may change; `times` is
+        the `looptimes.LoopTimes` of the loop.
         """
         time_source = clock.BoottimeClock()
         self._world = worlds.create(
             settings, secrets.randbits(SEED_BITS), time_source.now()
         )
-        self._engine = engine.Engine(self._world, ticks.tick, time_source)
+        self._engine = engine.Engine(
+            self._world, ticks.tick, time_source, times
+        )
         numbers = itertools.count(1)
         post = self._engine.post
         store = tablestore.TableStore(settings.store_address)
@@ -117,9 +122,16 @@
     """
     settings = bootfile.load(path)
     handler = logs.set_up(settings.log_level)
-    asyncio.run(_serve(settings, path, handler))
+    times = looptimes.LoopTimes()
+    make_loop = functools.partial(_loop, times)
+    with asyncio.Runner(loop_factory=make_loop) as loop_runner:
+        loop_runner.run(_serve(settings, path, handler, times))
     handler.close()
 
 
-async def _serve(settings, path, log_handler):
-    await Runner(settings, path, log_handler).run()
+def _loop(times):
+    return asyncio.SelectorEventLoop(looptimes.TimedSelector(times))
+
+
+async def _serve(settings, path, log_handler, times):
+    await Runner(settings, path, log_handler, times).run()
