Add tests that show how work goes on for callers who left

The deployment in memory passes cancellations of forwards on, and the proxy stand-in can hold bytes back, as a full link does.

--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -37,6 +37,8 @@
         for sent in outbox.take(messages.SendForward):
             delay_ms = self._transit_ms(sent.host_id, sent.forward.body)
             self._fleet.later(delay_ms, self._forward, host_id, sent)
+        for canceled in outbox.take(messages.CancelForward):
+            self._cancel(host_id, canceled)
         for send in outbox.take(messages.Send):
             self._run(host_id, send)
         for delivered in outbox.take(messages.Deliver):
@@ -74,6 +76,18 @@
                     reason=messages.Reason.BROKEN,
                 )
 
+    def _cancel(self, host_id, canceled):
+        for number, asked in tuple(self._forwards.items()):
+            key = (asked.sender, asked.number, asked.exchange)
+            if key == (host_id, canceled.number, canceled.exchange):
+                self._forwards.pop(number)
+                self._fleet.later(
+                    fleetconfig.LINK_MS,
+                    self._fleet.post,
+                    asked.host_id,
+                    messages.ForwardCanceled(number),
+                )
+
     def _transit_ms(self, host_id, body):
         """Return when a body has come in over the link of a host."""
         start = max(self._fleet.now, self._link_free.get(host_id, 0))
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,4 +1,4 @@
-"""Stand-in for the network: passes TCP bytes, goes silent, or cuts."""
+"""Stand-in for the network: passes TCP bytes, delays, loses or cuts them."""
 
 import asyncio
 import functools
@@ -21,11 +21,22 @@
     silent: set[str] = attrs.Factory(set)
 
 
+def _open_gates():
+    gates = {direction: asyncio.Event() for direction in DIRECTIONS}
+    for gate in gates.values():
+        gate.set()
+    return gates
+
+
 @attrs.define
 class Proxy:
-    """State of one proxy; `blocked` directions pass nothing."""
+    """State of one proxy; `blocked` directions pass nothing.
+
+    Bytes of a direction whose gate is shut wait, and pass when it opens.
+    """
 
     target: str
+    gates: dict[str, asyncio.Event] = attrs.Factory(_open_gates)
     blocked: set[str] = attrs.Factory(set)
     links: set[Link] = attrs.Factory(set)
     accepted: int = 0
@@ -39,6 +50,16 @@
     )
 
 
+def hold(proxy, direction):
+    """Let the bytes of a direction wait, as on a link that is full."""
+    proxy.gates[direction].clear()
+
+
+def release(proxy, direction):
+    """Pass on the bytes that have waited."""
+    proxy.gates[direction].set()
+
+
 def set_faults(proxy, silence='', block='', cut=False):
     """Apply faults; raise ValueError for an unknown direction.
 
@@ -93,6 +114,7 @@
 
 async def _pass_bytes(proxy, link, direction, reader, writer):
     while chunk := await reader.read(CHUNK_BYTES):
+        await proxy.gates[direction].wait()
         # Bytes of a silent direction are lost for good, as on a dead path.
         if direction in link.silent or direction in proxy.blocked:
             link.silent.add(direction)
--- /dev/null
+++ b/tests/test_mesh_late_input.py
@@ -0,0 +1,218 @@
+"""Input that an agent reads late: ends of requests, and the time they have."""
+
+import asyncio
+import socket
+
+import pytest
+
+from laburnumlatch.core import clock
+from laburnumlatch.experiments import fleet
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import peerlink
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import ticks
+from standins import proxy
+from tests import addresses
+from tests import test_mesh_peerlink
+
+NUMBER = 99_001
+TIME_MS = 700
+STEP_S = 0.02
+KINDS = list(routes.Kind)
+
+
+def forward(kind, number=7):
+    """Return a request for a service that is not divided by key."""
+    return messages.Forward(
+        number=number,
+        exchange=1,
+        head=messages.Head('GET', '/x', 'moti.example', (), f'r{number}'),
+        body=b'',
+        service='moti',
+        kind=kind,
+        priority=1,
+        time_left_ms=TIME_MS,
+        target_ms=300,
+        route='status',
+    )
+
+
+def runs_of(net):
+    """Return the IDs of requests that have begun at a backend server."""
+    return [
+        request_id
+        for backend in net.backends.values()
+        for _started, request_id in backend.started
+    ]
+
+
+class TestEndsBesideTheirRequest:
+    """A request and its end that are read in the same tick."""
+
+    @pytest.mark.parametrize('kind', KINDS)
+    def test_canceled_forward_is_not_started(self, kind):
+        """Guards against work for a sender that no longer waits."""
+        net = fleet.deployment()
+        world = net.worlds['m0']
+        arrived = messages.ForwardArrived(NUMBER, 'm1', forward(kind))
+        world.inbox.post(arrived)
+        world.inbox.post(messages.ForwardCanceled(NUMBER))
+        net.run(TIME_MS)
+        assert NUMBER not in world.requests
+        assert not runs_of(net)
+
+    @pytest.mark.parametrize('path', ['/', '/look/', '/book/'])
+    @pytest.mark.parametrize('host_id', ['b0', 'm0'])
+    def test_request_of_a_caller_who_left_is_not_started(self, host_id, path):
+        """Guards against work for a caller who has gone."""
+        net = fleet.deployment()
+        number = net.call(host_id, path, key=1)
+        net.post(host_id, messages.CallerLeft(number))
+        net.run(TIME_MS)
+        assert not runs_of(net)
+
+    def test_later_cancel_still_reaches_the_other_agent(self):
+        """Guards against a cancellation that overtakes its request."""
+        net = fleet.deployment()
+        number = net.call('b0', '/look/', key=net_key(net, 'b1'))
+        net.run(1)
+        net.post('b0', messages.CallerLeft(number))
+        net.run(1)
+        net.run(TIME_MS)
+        assert not any(len(world.requests) for world in net.worlds.values())
+
+
+def net_key(net, host_id):
+    """Return a key whose owner is a host."""
+    plan = net.worlds[host_id].plan_of('bokun')
+    return next(
+        piece.start for piece in plan.pieces if piece.host_id == host_id
+    )
+
+
+class SlowWay:
+    """Two agents with clocks of their own, and a way between them."""
+
+    def __init__(self, net, lead_ms):
+        """Let the clock of `b` be `lead_ms` ahead of that of `a`."""
+        self.clocks = {
+            'a': clock.ManualClock(net.now - lead_ms),
+            'b': clock.ManualClock(net.now),
+        }
+        self.world = net.worlds['m0']
+        self.agents = test_mesh_peerlink.Agents(self.clocks)
+        self._proxy = None
+        self._server = None
+
+    async def start(self, first_port):
+        """Let `a` reach `b` through a proxy."""
+        await self.agents.start(first_port)
+        self._proxy = proxy.Proxy(self.agents.ports['b'])
+        way = addresses.free()
+        self._server = await proxy.listen(self._proxy, way)
+        self.agents.ports['b'] = way
+
+    async def stop(self):
+        """Close all."""
+        await self.agents.stop()
+        self._server.close()
+
+    async def send(self, number, waits_ms):
+        """Send a request that is read `waits_ms` later."""
+        proxy.hold(self._proxy, proxy.UP)
+        self.agents.send(forward(routes.Kind.SAFE, number))
+        await asyncio.sleep(STEP_S)
+        for time_source in self.clocks.values():
+            time_source.advance(waits_ms)
+        proxy.release(self._proxy, proxy.UP)
+        return await self.agents.wait_for('b', messages.ForwardArrived)
+
+    def tick(self, arrived):
+        """Let the systems of `b` take the request; return what is sent."""
+        self.world.outbox.clear()
+        self.world.inbox.post(arrived)
+        ticks.tick(self.world, self.clocks['b'].now())
+        return self.world.outbox.take(messages.Send)
+
+
+class TestTimeOnTheWay:
+    """What a request spends between two agents is time it no longer has."""
+
+    @pytest.mark.parametrize(
+        ('lead_ms', 'port'), [(-5000, 17510), (0, 17512), (5000, 17514)]
+    )
+    async def test_request_read_after_its_deadline_is_refused(
+        self, lead_ms, port
+    ):
+        """Guards against a deadline that starts anew at each agent."""
+        way = SlowWay(fleet.deployment(), lead_ms)
+        await way.start(port)
+        (send,) = way.tick(await way.send(1, 0))
+        assert send.time_left_ms == TIME_MS
+        late = await way.send(2, TIME_MS + 1)
+        assert not way.tick(late)
+        (refusal,) = way.world.outbox.take(messages.ReplyRefusal)
+        assert refusal.verdict == messages.Verdict.NOT_RUN
+        await way.stop()
+
+    async def test_server_is_told_what_is_left(self):
+        """Guards against work that goes on when its caller has given up."""
+        way = SlowWay(fleet.deployment(), 0)
+        await way.start(17520)
+        way.tick(await way.send(1, 0))
+        (send,) = way.tick(await way.send(2, 400))
+        assert send.time_left_ms == TIME_MS - 400
+        await way.stop()
+
+    async def test_time_in_the_inbox_counts(self):
+        """Guards against a late tick that gives requests their time again."""
+        way = SlowWay(fleet.deployment(), 0)
+        await way.start(17530)
+        arrived = await way.send(1, 0)
+        way.clocks['b'].advance(TIME_MS + 1)
+        assert not way.tick(arrived)
+        await way.stop()
+
+
+class TestAgentThatDoesNotRead:
+    """An agent whose connections are accepted, and not read."""
+
+    async def test_request_is_not_handed_to_it(self):
+        """Guards against requests of which nobody knows if they ran."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        agents = test_mesh_peerlink.Agents()
+        await agents.start(17540)
+        agents.ports['b'] = f'127.0.0.1:{listener.getsockname()[1]}'
+        agents.send(forward(routes.Kind.ONCE))
+        failed = await agents.wait_for('a', messages.ExchangeFailed)
+        assert failed.phase == messages.Phase.UNSENT
+        await agents.stop()
+        listener.close()
+
+    async def test_requests_after_its_silence_wait_here(self):
+        """Guards against requests sent to an agent that no longer reads."""
+        agents = test_mesh_peerlink.Agents()
+        await agents.start(17550)
+        target = proxy.Proxy(agents.ports['b'])
+        way = addresses.free()
+        server = await proxy.listen(target, way)
+        agents.ports['b'] = way
+        agents.send(forward(routes.Kind.ONCE, 1))
+        await agents.wait_for('b', messages.ForwardArrived)
+        proxy.hold(target, proxy.UP)
+        agents.send(forward(routes.Kind.ONCE, 2))
+        await asyncio.sleep(
+            (peerlink.SILENT_MS + peerlink.PING_MS) / 2 / clock.MS_PER_S
+        )
+        agents.send(forward(routes.Kind.ONCE, 3))
+        phases = {}
+        for _ in range(3):
+            failed = await agents.wait_for('a', messages.ExchangeFailed)
+            phases[failed.number] = failed.phase
+        assert phases == {
+            1: messages.Phase.SENT,
+            2: messages.Phase.SENT,
+            3: messages.Phase.UNSENT,
+        }
+        await agents.stop()
+        server.close()
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -26,11 +26,17 @@
 
 
 class Agents:
-    """Two agents with a link each, and what their systems are told."""
+    """Two agents with a link each, and what their systems are told.
 
-    def __init__(self):
+    `clocks` are those of the agents, by name.
+    """
+
+    def __init__(self, clocks=None):
         """Start without connections."""
         self.told = {'a': [], 'b': []}
+        self.clocks = clocks or {
+            name: clock.BoottimeClock() for name in self.told
+        }
         self.links = {}
         self.ports = {}
 
@@ -43,7 +49,7 @@
                 self.ports[name],
                 name,
                 itertools.count(1),
-                clock.BoottimeClock(),
+                self.clocks[name],
             )
             await self.links[name].start()
 
