Compare two plans once, not for each renewal during a write

Callers saw: requests at the planner's host waited for seconds; those whose callers had left by then were passed on (GONE).

Cause: while a plan write is under way, a host that would lose keys by it gets no lease. For each renewal the planner compared all pieces of the plan in force with all of the new one: 234 by 234 pieces, 84 hosts, 2.5 renewals a second each. A write that the store answers late holds the loop for all that time, and the role then goes to the next host, which does the same.

Ruled out: packing and telling of plans, the search for moves, rows and watches: none of them is named by a late pass.

--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -145,7 +145,7 @@
     if not own_role.has_plans or not role.may_lease(own_role, now):
         return 0
     for write in world.plan_writes:
-        if planner.loses_keys(world, write.plan, renew.host_id):
+        if planner.loses_keys(world, write, renew.host_id):
             # The write may take effect, and the host does not know it.
             return 0
     return leaserows.LEASE_MS
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -49,17 +49,27 @@
         _plan_all(world, now)
 
 
-def loses_keys(world, plan, host_id):
-    """Tell whether a host would lose keys by `plan` without its release."""
-    known = world.plan_of(plan.service)
+def loses_keys(world, write, host_id):
+    """Tell whether a host would lose keys by a write without its release.
+
+    `write` is a `leaserows.PlanWrite`. All renewals ask this while it is under
+    way, so plans are compared once.
+    """
+    known = world.plan_of(write.plan.service)
     if known is None:
         return False
-    return any(
-        piece.host_id == host_id
-        and host_id not in {new.host_id, new.former}
-        and ranges.overlap(piece, new)
-        for piece in known.pieces
-        for new in plan.pieces
+    if write.compared_version != known.version:
+        write.compared_version = known.version
+        write.losers = losers(known, write.plan)
+    return host_id in write.losers
+
+
+def losers(known, plan):
+    """Return the hosts that lose keys of `known` by `plan` unreleased."""
+    return frozenset(
+        piece.host_id
+        for piece, new in ranges.overlapping(known.pieces, plan.pieces)
+        if piece.host_id not in {new.host_id, new.former}
     )
 
 
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -75,6 +75,21 @@
     return (start, end) if start <= end else None
 
 
+def overlapping(first, second):
+    """Yield the pairs of two plans' pieces that have keys in common.
+
+    Both are in order and leave no gap, so one pass over both is enough.
+    """
+    others = iter(second)
+    other = next(others, None)
+    for piece in first:
+        while other is not None and other.start <= piece.end:
+            yield piece, other
+            if other.end > piece.end:
+                break
+            other = next(others, None)
+
+
 def join(pieces):
     """Return the pieces with equal neighbours made one."""
     joined = []
