Take requests in before looking for those that have ended

Callers saw: servers busy with work for callers who had left (GONE), and with forwards that their sender had given up.

Cause: expiry took CallerLeft and ForwardCanceled before placement took RequestArrived and ForwardArrived. An end read in the same tick as its request met no row and was dropped; the request then ran until its deadline. An agent that was held up reads both at once, so this is the usual case just when it matters.

Change: a system of its own, intake, makes rows of what arrived. Then expiry takes the ends, and placement places what is still wanted, in the same tick. The class of fault is decisions taken by kind of message in place of by order of arrival.

--- /dev/null
+++ b/laburnumlatch/mesh/intake.py
@@ -0,0 +1,197 @@
+"""System: takes requests in, before it is looked for those that have ended.
+
+A request and its end may be read in the same tick, most of all by an agent
+that was held up. So no request is placed before all ends are known.
+"""
+
+from laburnumlatch.core import logs
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
+from laburnumlatch.mesh import expiry
+from laburnumlatch.mesh import leaving
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import retrybudget
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import rows
+
+# For callers that do not say how long they wait.
+DEFAULT_TIME_MS = 30_000
+DEFAULT_TARGET_MS = 1000
+NOT_READY_RETRY_MS = 500
+
+_log = logs.logger('requests')
+
+
+def run(world, now):
+    """Make rows of what arrived; `placement` takes them up in this tick."""
+    for forwarded in world.inbox.take(messages.ForwardArrived):
+        _take_forward(world, forwarded, now)
+    for arrived in world.inbox.take(messages.RequestArrived):
+        _take_arrived(world, arrived, now)
+
+
+def _take_arrived(world, arrived, now):
+    counting.count(world, 'requests_received')
+    configuration = world.configuration
+    if configuration is None:
+        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
+        return
+    parent = _parent(world, arrived.head.request_id)
+    if leaving.refuses_callers(world, now) and parent is None:
+        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
+        return
+    path = arrived.head.target.partition('?')[0]
+    route = configuration.match(arrived.head.host, path)
+    if route is None:
+        _refuse(world, arrived, messages.Verdict.NO_ROUTE, 'no-route')
+        return
+    if len(arrived.body) > configuration.limits.body_bytes:
+        _refuse(world, arrived, messages.Verdict.TOO_LARGE, 'too-large')
+        return
+    request = _row(world, arrived, route, now)
+    if parent is not None:
+        request.is_nested = True
+        request.parent_route = parent.route
+        request.parent_due = parent.arrived + parent.target_ms
+    retrybudget.count_request(world, request.service, now)
+    decisions.note(
+        world,
+        request,
+        'received',
+        service=request.service,
+        route=route.name,
+        configuration=configuration.version,
+        kind=route.kind,
+        priority=route.priority,
+        left_ms=request.deadline - now,
+    )
+    _keep(world, request, now)
+
+
+def _refuse(world, arrived, verdict, reason):
+    counting.count(
+        world, 'requests_refused_unplaced', outcome=verdict, reason=reason
+    )
+    _log.notice(
+        verdict,
+        request=arrived.head.request_id,
+        reason=reason,
+        host_name=arrived.head.host,
+        configuration=world.configuration_version,
+        retry_after_ms=NOT_READY_RETRY_MS,
+    )
+    world.outbox.post(
+        messages.Refuse(
+            arrived.number,
+            verdict,
+            messages.Reason(reason),
+            NOT_READY_RETRY_MS,
+        )
+    )
+
+
+def _row(world, arrived, route, now):
+    time_left_ms = arrived.time_left_ms
+    if time_left_ms is None:
+        time_left_ms = DEFAULT_TIME_MS
+    caller_deadline = now + time_left_ms
+    deadline = caller_deadline
+    if route.timeout_ms is not None:
+        deadline = min(deadline, now + route.timeout_ms)
+    return rows.Request(
+        number=arrived.number,
+        head=arrived.head,
+        body=arrived.body,
+        service=_service_of(world, route),
+        kind=route.kind,
+        priority=route.priority,
+        attempts=route.attempts,
+        arrived=now,
+        deadline=deadline,
+        caller_deadline=caller_deadline,
+        target_ms=route.target_ms or DEFAULT_TARGET_MS,
+        route=route.name,
+    )
+
+
+def _parent(world, request_id):
+    """Return the request that runs on this host and makes this call, or None.
+
+    A backend server derives the ID of a call from that of its request.
+    """
+    parent_id, dot, _own = request_id.rpartition('.')
+    if not dot:
+        return None
+    for request in world.requests:
+        is_running = request.state == rows.RequestState.RUNNING
+        if is_running and request.request_id == parent_id:
+            return request
+    return None
+
+
+def _service_of(world, route):
+    """Return the service that is next by weight (smooth round robin)."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    credits_key = (route.name, route.shares)
+    credit = world.split_credits.get(credits_key)
+    if credit is None:
+        start = world.rng.random()
+        credit = world.split_credits.put(
+            credits_key,
+            dict.fromkeys((one.service for one in route.shares), start),
+        )
+    total = 0
+    for part in route.shares:
+        credit[part.service] += part.weight
+        total += part.weight
+    chosen = max(credit, key=credit.get)
+    credit[chosen] -= total
+    return chosen
+
+
+def _forwarded_row(forwarded, now):
+    forward = forwarded.forward
+    return rows.Request(
+        number=forwarded.number,
+        head=forward.head,
+        body=forward.body,
+        service=forward.service,
+        kind=routes.Kind(forward.kind),
+        priority=forward.priority,
+        attempts=1,
+        arrived=now,
+        deadline=now + forward.time_left_ms,
+        caller_deadline=now + forward.time_left_ms,
+        target_ms=forward.target_ms,
+        sender=forwarded.sender,
+        sender_exchange=forward.exchange,
+        route=forward.route,
+        plan_version=forward.plan_version,
+        is_nested=forward.is_nested,
+    )
+
+
+def _take_forward(world, forwarded, now):
+    forward = forwarded.forward
+    request = _forwarded_row(forwarded, now)
+    decisions.note(
+        world,
+        request,
+        'forward-received',
+        sender=forwarded.sender,
+        service=request.service,
+        route=request.route,
+        plan=forward.plan_version or None,
+        left_ms=forward.time_left_ms,
+    )
+    _keep(world, request, now)
+    if world.closing_since is not None:
+        requests.refuse(world, request, messages.Reason.STOPPING)
+
+
+def _keep(world, request, now):
+    world.requests.put(request.number, request)
+    expiry.watch(world, request)
+    requests.place_at(world, request, now)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -1,34 +1,19 @@
-"""System: takes requests in and chooses the host that serves each."""
+"""System: chooses the host that serves each request."""
 
-from laburnumlatch.core import logs
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
-from laburnumlatch.mesh import expiry
-from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
-from laburnumlatch.mesh import retrybudget
-from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
 
-# For callers that do not say how long they wait.
-DEFAULT_TIME_MS = 30_000
-DEFAULT_TARGET_MS = 1000
-NOT_READY_RETRY_MS = 500
 # While one request tries a host that could not be reached, others avoid it
 # for this time: longer than a connection may take.
 TRIAL_MS = 1000
 
-_log = logs.logger('requests')
-
 
 def run(world, now):
-    """Take in what arrived, and place again what waited."""
-    for forwarded in world.inbox.take(messages.ForwardArrived):
-        _take_forward(world, forwarded, now)
-    for arrived in world.inbox.take(messages.RequestArrived):
-        _take_arrived(world, arrived, now)
+    """Place what was taken in and is still wanted, and again what waited."""
     for number in world.placements.pop_due(now):
         request = world.parked.pop(number)
         if request is not None:
@@ -40,6 +25,9 @@
 
 def place(world, request, now):
     """Queue the request here, forward it, or refuse it."""
+    if request.sender:
+        _place_forward(world, request, now)
+        return
     host = _host_for(world, request, now)
     if host is None:
         requests.park(world, request, messages.Reason.NO_HOST)
@@ -69,169 +57,10 @@
     requests.refuse(world, request, obstacle.reason, obstacle.retry_after_ms)
 
 
-def _take_arrived(world, arrived, now):
-    counting.count(world, 'requests_received')
-    configuration = world.configuration
-    if configuration is None:
-        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
-        return
-    parent = _parent(world, arrived.head.request_id)
-    if leaving.refuses_callers(world, now) and parent is None:
-        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
-        return
-    path = arrived.head.target.partition('?')[0]
-    route = configuration.match(arrived.head.host, path)
-    if route is None:
-        _refuse(world, arrived, messages.Verdict.NO_ROUTE, 'no-route')
-        return
-    if len(arrived.body) > configuration.limits.body_bytes:
-        _refuse(world, arrived, messages.Verdict.TOO_LARGE, 'too-large')
-        return
-    request = _row(world, arrived, route, now)
-    if parent is not None:
-        request.is_nested = True
-        request.parent_route = parent.route
-        request.parent_due = parent.arrived + parent.target_ms
-    retrybudget.count_request(world, request.service, now)
-    decisions.note(
-        world,
-        request,
-        'received',
-        service=request.service,
-        route=route.name,
-        configuration=configuration.version,
-        kind=route.kind,
-        priority=route.priority,
-        left_ms=request.deadline - now,
-    )
-    _keep(world, request)
-    place(world, request, now)
-
-
-def _refuse(world, arrived, verdict, reason):
-    counting.count(
-        world, 'requests_refused_unplaced', outcome=verdict, reason=reason
-    )
-    _log.notice(
-        verdict,
-        request=arrived.head.request_id,
-        reason=reason,
-        host_name=arrived.head.host,
-        configuration=world.configuration_version,
-        retry_after_ms=NOT_READY_RETRY_MS,
-    )
-    world.outbox.post(
-        messages.Refuse(
-            arrived.number,
-            verdict,
-            messages.Reason(reason),
-            NOT_READY_RETRY_MS,
-        )
-    )
-
-
-def _row(world, arrived, route, now):
-    time_left_ms = arrived.time_left_ms
-    if time_left_ms is None:
-        time_left_ms = DEFAULT_TIME_MS
-    caller_deadline = now + time_left_ms
-    deadline = caller_deadline
-    if route.timeout_ms is not None:
-        deadline = min(deadline, now + route.timeout_ms)
-    return rows.Request(
-        number=arrived.number,
-        head=arrived.head,
-        body=arrived.body,
-        service=_service_of(world, route),
-        kind=route.kind,
-        priority=route.priority,
-        attempts=route.attempts,
-        arrived=now,
-        deadline=deadline,
-        caller_deadline=caller_deadline,
-        target_ms=route.target_ms or DEFAULT_TARGET_MS,
-        route=route.name,
-    )
-
-
-def _parent(world, request_id):
-    """Return the request that runs on this host and makes this call, or None.
-
-    A backend server derives the ID of a call from that of its request.
-    """
-    parent_id, dot, _own = request_id.rpartition('.')
-    if not dot:
-        return None
-    for request in world.requests:
-        is_running = request.state == rows.RequestState.RUNNING
-        if is_running and request.request_id == parent_id:
-            return request
-    return None
-
-
-def _service_of(world, route):
-    """Return the service that is next by weight (smooth round robin)."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    credits_key = (route.name, route.shares)
-    credit = world.split_credits.get(credits_key)
-    if credit is None:
-        start = world.rng.random()
-        credit = world.split_credits.put(
-            credits_key,
-            dict.fromkeys((one.service for one in route.shares), start),
-        )
-    total = 0
-    for part in route.shares:
-        credit[part.service] += part.weight
-        total += part.weight
-    chosen = max(credit, key=credit.get)
-    credit[chosen] -= total
-    return chosen
-
-
-def _forwarded_row(forwarded, now):
-    forward = forwarded.forward
-    return rows.Request(
-        number=forwarded.number,
-        head=forward.head,
-        body=forward.body,
-        service=forward.service,
-        kind=routes.Kind(forward.kind),
-        priority=forward.priority,
-        attempts=1,
-        arrived=now,
-        deadline=now + forward.time_left_ms,
-        caller_deadline=now + forward.time_left_ms,
-        target_ms=forward.target_ms,
-        sender=forwarded.sender,
-        sender_exchange=forward.exchange,
-        route=forward.route,
-        is_nested=forward.is_nested,
-    )
-
-
-def _take_forward(world, forwarded, now):
-    forward = forwarded.forward
-    request = _forwarded_row(forwarded, now)
-    decisions.note(
-        world,
-        request,
-        'forward-received',
-        sender=forwarded.sender,
-        service=request.service,
-        route=request.route,
-        plan=forward.plan_version or None,
-        left_ms=forward.time_left_ms,
-    )
-    _keep(world, request)
-    if world.closing_since is not None:
-        requests.refuse(world, request, messages.Reason.STOPPING)
-        return
-    if forward.service != world.settings.service:
-        requests.refuse(world, request, messages.Reason.NOT_OWNER)
-        return
-    if _is_misplaced(world, request, forward.plan_version):
+def _place_forward(world, request, now):
+    """Queue a request that another agent chose this host for, or refuse it."""
+    is_own = request.service == world.settings.service
+    if not is_own or _is_misplaced(world, request):
         requests.refuse(world, request, messages.Reason.NOT_OWNER)
         return
     obstacle = admission.enter(world, request, now)
@@ -241,17 +70,11 @@
         )
 
 
-def _keep(world, request):
-    world.requests.put(request.number, request)
-    expiry.watch(world, request)
-    world.wake_at(request.deadline)
-
-
-def _is_misplaced(world, request, plan_version):
+def _is_misplaced(world, request):
     if request.head.key is None or not world.is_divided(request.service):
         return False
     plan = world.plan_of(request.service)
-    if plan is None or plan.version < plan_version:
+    if plan is None or plan.version < request.plan_version:
         # The sender knows a newer plan, which will come.
         return False
     return plan.piece_of(request.head.key).host_id != world.host_id
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -142,6 +142,11 @@
         return
     request.waits += 1
     decisions.note(world, request, 'parked', reason=reason, waits=request.waits)
+    place_at(world, request, due)
+    world.wake_at(due)
+
+
+def place_at(world, request, due):
+    """Let `placement` take up the request in the first tick from `due` on."""
     world.parked.put(request.number, request)
     world.placements.push(due, request.number)
-    world.wake_at(due)
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import intake
 from laburnumlatch.mesh import leases
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import members
@@ -18,7 +19,8 @@
 
 # The store's answers are counted before other systems take them. What is
 # believed about hosts and keys comes before requests, so that each
-# request is decided on the newest state; ends of requests come before starts,
+# request is decided on the newest state. Requests are taken in before their
+# ends are looked for, since one tick may bring both; ends come before starts,
 # so that a free slot of the backend server is used in the same tick.
 ORDER = (
     counting,
@@ -28,6 +30,7 @@
     leases,
     planner,
     holdings,
+    intake,
     expiry,
     outcomes,
     silence,
