Count the time of a request from its sending, not from its reading

Callers saw: their requests ran seconds after they had given up (GONE), and backend servers were handed more time than was left.

Cause: Forward.time_left_ms counted from when the other agent read it, and arrivals from the tick that took them.

Front ends say when they read a request, so a late tick costs it time, too.

--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -95,10 +95,11 @@
     time_left_ms = arrived.time_left_ms
     if time_left_ms is None:
         time_left_ms = DEFAULT_TIME_MS
-    caller_deadline = now + time_left_ms
+    read = now if arrived.read is None else arrived.read
+    caller_deadline = read + time_left_ms
     deadline = caller_deadline
     if route.timeout_ms is not None:
-        deadline = min(deadline, now + route.timeout_ms)
+        deadline = min(deadline, read + route.timeout_ms)
     return rows.Request(
         number=arrived.number,
         head=arrived.head,
@@ -107,7 +108,7 @@
         kind=route.kind,
         priority=route.priority,
         attempts=route.attempts,
-        arrived=now,
+        arrived=read,
         deadline=deadline,
         caller_deadline=caller_deadline,
         target_ms=route.target_ms or DEFAULT_TARGET_MS,
@@ -153,6 +154,8 @@
 
 def _forwarded_row(forwarded, now):
     forward = forwarded.forward
+    read = now if forwarded.read is None else forwarded.read
+    deadline = read + forward.time_left_ms - forwarded.waited_ms
     return rows.Request(
         number=forwarded.number,
         head=forward.head,
@@ -161,9 +164,9 @@
         kind=routes.Kind(forward.kind),
         priority=forward.priority,
         attempts=1,
-        arrived=now,
-        deadline=now + forward.time_left_ms,
-        caller_deadline=now + forward.time_left_ms,
+        arrived=read,
+        deadline=deadline,
+        caller_deadline=deadline,
         target_ms=forward.target_ms,
         sender=forwarded.sender,
         sender_exchange=forward.exchange,
@@ -184,7 +187,8 @@
         service=request.service,
         route=request.route,
         plan=forward.plan_version or None,
-        left_ms=forward.time_left_ms,
+        waited_ms=forwarded.waited_ms,
+        left_ms=request.deadline - now,
     )
     _keep(world, request, now)
     if world.closing_since is not None:
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -94,12 +94,15 @@
     """A caller on this host sent a whole request.
 
     `time_left_ms` is how long the caller waits, None if it did not say.
+    `read` is when the request was read, in ms of the agent's clock, None if
+    that is now.
     """
 
     number: int
     head: Head
     body: bytes
     time_left_ms: int | None
+    read: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -111,11 +114,17 @@
 
 @attrs.define(frozen=True)
 class ForwardArrived:
-    """Another agent passed a request on to this host's backend server."""
+    """Another agent passed a request on to this host's backend server.
+
+    `read` is when it was read, in ms of the agent's clock, None if that is
+    now. Before that it spent `waited_ms` more than the usual on its way.
+    """
 
     number: int
     sender: str
     forward: 'Forward'
+    read: int | None = None
+    waited_ms: int = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import transit
 
 CONNECT_TIMEOUT_MS = 500
 # A connection on which answers are due is asked for a sign after the first
@@ -91,14 +92,21 @@
 
     def hello(self):
         """Return the first frame of a connection."""
-        return peermsg.Hello(self._host_id)
+        return peermsg.Hello(self._host_id, self.now())
 
-    def asked(self, inbound, forward):
-        """Take in a request of another agent."""
+    def asked(self, inbound, message):
+        """Take in a request of another agent, a `peermsg.Ask`."""
         number = next(self._numbers)
+        forward = message.forward
         self._asked[number] = (inbound, forward.number, forward.exchange)
         inbound.open[forward.number, forward.exchange] = number
-        self._post(messages.ForwardArrived(number, inbound.host_id, forward))
+        read = self.now()
+        waited_ms = inbound.transit.waited_ms(message.made, read)
+        self._post(
+            messages.ForwardArrived(
+                number, inbound.host_id, forward, read, waited_ms
+            )
+        )
 
     def canceled(self, number):
         """Forget a request that nobody waits for."""
@@ -203,7 +211,7 @@
         if not self._open:
             self._heard = self._link.now()
         self._open[forward.number, forward.exchange] = forward
-        self.send(peermsg.Ask(forward))
+        self.send(peermsg.Ask(forward, self._link.now()))
 
     def tell(self, frame):
         """Send a frame that has no answer now, or when connected."""
@@ -307,6 +315,7 @@
         super().__init__()
         self.host_id = ''
         self.open = {}
+        self.transit = transit.Transit()
         self._link = link
         self._takers = {
             peermsg.Hello: self._hello,
@@ -329,9 +338,10 @@
 
     def _hello(self, message):
         self.host_id = message.host_id
+        self.transit.waited_ms(message.made, self._link.now())
 
     def _ask(self, message):
-        self._link.asked(self, message.forward)
+        self._link.asked(self, message)
 
     def _cancel(self, message):
         number = self.open.pop((message.number, message.exchange), None)
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -10,16 +10,24 @@
 
 @attrs.define(frozen=True)
 class Hello:
-    """First frame of a connection: who asks."""
+    """First frame of each side of a connection: who speaks.
+
+    `made` is when it was made, in ms of that agent's clock.
+    """
 
     host_id: str
+    made: int
 
 
 @attrs.define(frozen=True)
 class Ask:
-    """A request for the receiver's backend server."""
+    """A request for the receiver's backend server.
+
+    It had its time left when the sender's clock showed `made`, in ms.
+    """
 
     forward: messages.Forward
+    made: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -42,9 +42,10 @@
 
     kinds = (messages.Deliver, messages.Refuse, messages.LimitsChanged)
 
-    def __init__(self, post, own, numbers):
+    def __init__(self, post, own, numbers, time_source):
         """Serve as `own`, a `mesh.settings.Settings`, says."""
         super().__init__(post)
+        self._clock = time_source
         self._own = own
         self._numbers = numbers
         self._open = {}
@@ -119,7 +120,9 @@
         number = next(self._numbers)
         self._open[number] = exchange
         self._post(
-            messages.RequestArrived(number, head, body, time_left_ms),
+            messages.RequestArrived(
+                number, head, body, time_left_ms, self._clock.now()
+            ),
         )
         return number
 
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -50,7 +50,9 @@
         numbers = itertools.count(1)
         post = self._engine.post
         store = tablestore.TableStore(settings.store_address)
-        self._callers = callerfront.CallerFront(post, settings, numbers)
+        self._callers = callerfront.CallerFront(
+            post, settings, numbers, time_source
+        )
         self._front_ends = [
             self._callers,
             controlfront.ControlFront(
