Report the close of a caller that came with its request

Callers saw: work went on for them after they had left, until it was done.

Cause: tornado registers the close callback once the request has been handled, and only on a stream that is still open. If the close is read together with the last bytes of the request, the stream is closed by then, and nobody is ever told. This needs an agent that reads late: both wait in the socket then. The request was queued, forwarded and run for nobody, and its answer written to a closed connection.

Change: the front end looks whether the stream is closed when it hands the request over, and reports the close behind it.

Evidence: test_caller_close[get] failed before (the close never came) and passes; [put], a close one read later, still fails and stays listed.

--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -194,6 +194,9 @@
             b''.join(self._chunks),
             _time_left_ms(fields.get(wire.TIME_LEFT_MS)),
         )
+        if self._connection.stream.closed():
+            # tornado does not report a close that came with the request.
+            self.on_connection_close()
 
     def on_connection_close(self):
         """Tell the systems that the caller has gone."""
