Look for ends of requests before the tick that follows a long pass

Callers saw: requests whose close was already waiting were started.

Cause: a look at the sockets brings one piece of input a connection. After an agent was held up a request and the close behind it both wait; the tick ran after the first look and started the request. The same holds for frames and the end of their connection.

Change: for eight passes after one of 40 ms or more, a tick waits for up to three more looks. Nothing changes for an agent that is not late, and the bound keeps an overloaded one from waiting for ever.

Evidence: test_caller_close[put] failed with the commit before, passes now. Ruled out: one or two looks more right after the long pass only; head, body and close of a request come in passes of their own, the case still failed.

--- a/laburnumlatch/core/engine.py
+++ b/laburnumlatch/core/engine.py
@@ -5,6 +5,10 @@
 from laburnumlatch.core import clock
 from laburnumlatch.core import looptimes
 
+# A tick waits for so many more looks at the sockets, so that it sees the ends
+# of requests that were read late.
+MAX_LOOKS = 3
+
 
 class Engine:
     """Runs ticks when a message has arrived or a due time is reached."""
@@ -22,6 +26,7 @@
         self._takers = {}
         self._soon = None
         self._later = None
+        self._looks = 0
 
     def register(self, kind, carry_out):
         """Give each outgoing message of the class `kind` to `carry_out`."""
@@ -44,8 +49,13 @@
             self._soon = self._loop.call_soon(self._tick)
 
     def _tick(self):
-        self._soon = None
         times = self._times
+        if times.may_have_more and self._looks < MAX_LOOKS:
+            self._looks += 1
+            self._soon = self._loop.call_soon(self._tick)
+            return
+        self._looks = 0
+        self._soon = None
         times.note(looptimes.INPUT)
         for kind, number in self._world.inbox.counts():
             times.count(kind, number)
--- a/laburnumlatch/core/looptimes.py
+++ b/laburnumlatch/core/looptimes.py
@@ -13,6 +13,11 @@
 
 # Callers count in hundreds of ms; agents give up a silent peer after 800.
 LATE_MS = 100
+# After a pass of this time ends of requests may wait behind them.
+HELD_MS = 40
+# Reading the head of a request, its body and its close takes a pass each, and
+# some more for the library to report them.
+CATCH_UP_PASSES = 8
 # So many parts of a late pass are named.
 TOLD = 4
 # What runs outside systems: reading, decoding, timers of libraries.
@@ -29,10 +34,25 @@
         self._began = None
         self._marks = []
         self._handled = {}
+        self._passes = 0
+        self._held_pass = None
+
+    @property
+    def may_have_more(self):
+        """Whether input that came meanwhile may not have been read yet.
+
+        After a long pass a connection may hold more than one piece of input,
+        as a request and the close behind it. Each look at the sockets brings
+        one of them.
+        """
+        if self._held_pass is None:
+            return False
+        return self._passes <= self._held_pass + CATCH_UP_PASSES
 
     def begin(self):
         """Note that the loop has looked at its sockets."""
         self._began = time.monotonic_ns()
+        self._passes += 1
 
     def note(self, part):
         """Count the time since the last note as spent in `part`."""
@@ -49,6 +69,8 @@
         if self._began is not None:
             self.note(INPUT)
             took_ms = (self._marks[-1][1] - self._began) // clock.NS_PER_MS
+            if took_ms >= HELD_MS:
+                self._held_pass = self._passes
             if took_ms >= LATE_MS:
                 self._tell(took_ms)
         self._marks.clear()
