Hand requests only to an agent that reads

Callers saw: bookings ended as unknown (502) though they had not run, and reads ran at an agent that had been given up, beside their repeat.

Cause: a request was written to a connection as soon as the kernel of the other host had accepted it, and went on being written while that agent was silent. Frames were even written to a connection that had been aborted ('socket.send() raised exception'), and those requests counted as sent.

A closing connection is not used any more. Of plans that wait for an agent only the newest is sent. The side that asks has a module of its own, outbound.

Ruled out: a shorter time to give a peer up; it closes connections of agents that are only busy, and does not help with what is in their buffers.

--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -58,7 +58,12 @@
             self.transport.abort()
 
     def send(self, message):
-        """Write one message."""
+        """Write one message; drop it if the connection has ended.
+
+        Who waits for an answer learns of the end by `connection_lost`.
+        """
+        if self.transport.is_closing():
+            return
         body = _codec.encode(message)
         packed = self._deflate.compress(_LENGTH.pack(len(body)))
         packed += self._deflate.compress(body)
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -9,15 +9,11 @@
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import outbound
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import transit
 
-CONNECT_TIMEOUT_MS = 500
-# A connection on which answers are due is asked for a sign after the first
-# time without a byte, and given up after the second.
-PING_MS = 250
-SILENT_MS = 800
 CHECK_MS = 100
 BACKLOG = 512
 
@@ -64,21 +60,21 @@
         """Close all connections."""
         self._checks.cancel()
         self._server.close()
-        for outbound in tuple(self._dialed.values()):
-            outbound.close()
+        for dialed in tuple(self._dialed.values()):
+            dialed.close()
 
     def carry_out(self, message):
         """Send a request, a cancellation or a reply."""
         if isinstance(message, messages.SendForward):
-            outbound = self._outbound(message.host_id, message.address)
-            outbound.ask(message.forward)
+            dialed = self._outbound(message.host_id, message.address)
+            dialed.ask(message.forward)
         elif isinstance(message, messages.SendPlan):
-            outbound = self._outbound(message.host_id, message.address)
-            outbound.tell(self._plan_frame(message))
+            dialed = self._outbound(message.host_id, message.address)
+            dialed.tell(message.plan.service, self._plan_frame(message))
         elif isinstance(message, messages.CancelForward):
-            outbound = self._dialed.get(message.host_id)
-            if outbound is not None:
-                outbound.cancel(message.number, message.exchange)
+            dialed = self._dialed.get(message.host_id)
+            if dialed is not None:
+                dialed.cancel(message.number, message.exchange)
         else:
             self._reply(message)
 
@@ -113,9 +109,9 @@
         if self._asked.pop(number, None) is not None:
             self._post(messages.ForwardCanceled(number))
 
-    def lost(self, host_id, outbound):
+    def lost(self, host_id, dialed):
         """Forget a connection that has ended."""
-        if self._dialed.get(host_id) is outbound:
+        if self._dialed.get(host_id) is dialed:
             self._dialed.pop(host_id)
 
     def _plan_frame(self, message):
@@ -128,12 +124,15 @@
         return told
 
     def _outbound(self, host_id, address):
-        outbound = self._dialed.get(host_id)
-        if outbound is None or outbound.address != address:
-            outbound = _Outbound(self, host_id, address)
-            self._dialed[host_id] = outbound
-            outbound.dial()
-        return outbound
+        known = self._dialed.get(host_id)
+        if known is not None and known.is_usable(address):
+            return known
+        if known is not None:
+            known.close()
+        dialed = outbound.Outbound(self, host_id, address)
+        self._dialed[host_id] = dialed
+        dialed.dial()
+        return dialed
 
     def _reply(self, message):
         inbound, number, exchange = self._asked.pop(
@@ -172,142 +171,11 @@
         )
 
     def _check(self):
-        for outbound in tuple(self._dialed.values()):
-            outbound.check()
+        for dialed in tuple(self._dialed.values()):
+            dialed.check()
         self._check_later()
 
 
-class _Outbound(frames.FrameProtocol):
-    """A connection on which this agent asks another one."""
-
-    def __init__(self, link, host_id, address):
-        super().__init__()
-        self.address = address
-        self._link = link
-        self._host_id = host_id
-        self._waiting = []
-        self._untold = []
-        self._open = {}
-        self._heard = 0
-        self._pinged = 0
-        self._dialing = None
-
-    def dial(self):
-        """Begin to connect."""
-        self._dialing = asyncio.ensure_future(self._connect())
-
-    def close(self):
-        """Close without waiting for answers."""
-        if self._dialing is not None:
-            self._dialing.cancel()
-        if self.transport is not None:
-            self.transport.abort()
-
-    def ask(self, forward):
-        """Send a request now, or when the connection is there."""
-        if self.transport is None:
-            self._waiting.append(forward)
-            return
-        if not self._open:
-            self._heard = self._link.now()
-        self._open[forward.number, forward.exchange] = forward
-        self.send(peermsg.Ask(forward, self._link.now()))
-
-    def tell(self, frame):
-        """Send a frame that has no answer now, or when connected."""
-        if self.transport is None:
-            self._untold.append(frame)
-        else:
-            self.send(frame)
-
-    def cancel(self, number, exchange):
-        """Say that nobody waits for this answer."""
-        self._waiting = [
-            forward
-            for forward in self._waiting
-            if (forward.number, forward.exchange) != (number, exchange)
-        ]
-        if self._open.pop((number, exchange), None) is not None:
-            self.send(peermsg.Cancel(number, exchange))
-
-    def check(self):
-        """Ping a silent connection, and give up one that stays silent."""
-        if self.transport is None or not self._open:
-            return
-        silent_ms = self._link.now() - max(self._heard, 0)
-        if silent_ms >= SILENT_MS:
-            _log.warning('peer-silent', host=self._host_id)
-            self.transport.abort()
-        elif silent_ms >= PING_MS and self._pinged < self._heard + PING_MS:
-            self._pinged = self._link.now()
-            self.send(peermsg.Ping())
-
-    def connection_made(self, transport):
-        """Send what has waited for the connection."""
-        super().connection_made(transport)
-        self._heard = self._link.now()
-        self.send(self._link.hello())
-        for frame in self._untold:
-            self.send(frame)
-        self._untold.clear()
-        waiting = self._waiting
-        self._waiting = []
-        for forward in waiting:
-            self.ask(forward)
-
-    def connection_lost(self, error):
-        """Report the requests whose answers will not come."""
-        self._link.lost(self._host_id, self)
-        failed = self._open
-        self._open = {}
-        for forward in failed.values():
-            self._fail(forward, messages.Phase.SENT, str(error))
-
-    def data_received(self, chunk):
-        """Note that the connection is alive."""
-        self._heard = self._link.now()
-        super().data_received(chunk)
-
-    def received(self, message):
-        """Report an answer or a refusal."""
-        if isinstance(message, (peermsg.Answered, peermsg.Refused)):
-            key = (message.number, message.exchange)
-            if self._open.pop(key, None) is not None:
-                self._link.post(_event_of(message))
-
-    async def _connect(self):
-        ip_text, port = addresses.split_address(self.address)
-        connecting = asyncio.get_running_loop().create_connection(
-            lambda: self, ip_text, port
-        )
-        try:
-            await asyncio.wait_for(
-                connecting, CONNECT_TIMEOUT_MS / clock.MS_PER_S
-            )
-        except (OSError, TimeoutError) as error:
-            _log.warning(
-                'peer-unreachable', host=self._host_id, detail=repr(error)
-            )
-            self._link.lost(self._host_id, self)
-            # Frames without an answer are repeated by who sends them.
-            self._untold.clear()
-            waiting = self._waiting
-            self._waiting = []
-            for forward in waiting:
-                self._fail(forward, messages.Phase.UNSENT, repr(error))
-
-    def _fail(self, forward, phase, detail):
-        self._link.post(
-            messages.ExchangeFailed(
-                number=forward.number,
-                exchange=forward.exchange,
-                phase=phase,
-                reason=messages.Reason.UNREACHABLE,
-                detail=detail,
-            )
-        )
-
-
 class _Inbound(frames.FrameProtocol):
     """A connection on which another agent asks this one."""
 
@@ -339,6 +207,8 @@
     def _hello(self, message):
         self.host_id = message.host_id
         self.transit.waited_ms(message.made, self._link.now())
+        # The other side sends nothing before it knows that this one reads.
+        self.send(self._link.hello())
 
     def _ask(self, message):
         self._link.asked(self, message)
@@ -354,24 +224,3 @@
     def _plan(self, message):
         plan = wire.unpack(message.packed, ranges.Plan)
         self._link.post(messages.PlanTold(plan, message.row_version))
-
-
-def _event_of(message):
-    if isinstance(message, peermsg.Answered):
-        return messages.ExchangeEnded(
-            message.number,
-            message.exchange,
-            message.answer,
-            message.wait_ms,
-            message.work_ms,
-            message.held_ms,
-        )
-    return messages.ExchangeFailed(
-        number=message.number,
-        exchange=message.exchange,
-        phase=messages.Phase.REFUSED,
-        reason=message.reason,
-        verdict=message.verdict,
-        retry_after_ms=message.retry_after_ms,
-        wait_ms=message.wait_ms,
-    )
--- a/tests/test_mesh_late_input.py
+++ b/tests/test_mesh_late_input.py
@@ -8,7 +8,7 @@
 from laburnumlatch.core import clock
 from laburnumlatch.experiments import fleet
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import peerlink
+from laburnumlatch.mesh import outbound
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import ticks
 from standins import proxy
@@ -205,7 +205,7 @@
         proxy.hold(target, proxy.UP)
         agents.send(forward(routes.Kind.ONCE, 2))
         await asyncio.sleep(
-            (peerlink.SILENT_MS + peerlink.PING_MS) / 2 / clock.MS_PER_S
+            (outbound.SILENT_MS + outbound.PING_MS) / 2 / clock.MS_PER_S
         )
         agents.send(forward(routes.Kind.ONCE, 3))
         phases = {}
