Decode what other writers leave with one kind of error, and within bounds

Operators of systems like this reported that one odd entry ended the machines that read it, or made them stop following the list. Both parts of it could happen here: a row of the store whose value is no base64, is null or lacks its key ended the task of a read or watch without an answer, so the agent never followed that table again. Nested JSON raised RecursionError and 1e999 OverflowError past the decoders; a compressed row or a frame was unpacked whatever it unpacked to (agents have 200 MB); a plan with a gap or without pieces, or a host's row under another host's key, was believed.

Change: jsontext reads JSON from outside and raises InvalidInputError for all of it; an odd row is left out with a log line and the others hold; rows and frames have a bound on what they unpack to; plans and host rows are checked when they are read. Tasks of front ends report how they ended, so that no call is without an answer. split_address refuses what is no address, and keeps what it has split.

Ruled out: processes that end by themselves were not seen; an error in a task or a tick is logged and the loop goes on.

--- a/laburnumlatch/core/addresses.py
+++ b/laburnumlatch/core/addresses.py
@@ -1,9 +1,14 @@
 """Addresses as `ip:port`."""
 
+import functools
 import ipaddress
 
+from laburnumlatch.core import errors
+
 ADDRESS_EXPECTED = 'an address as ip:port, like 10.1.2.3:7000'
 MAX_PORT = 65535
+# All hosts of a large deployment.
+MAX_KEPT = 20_000
 
 
 def is_address(text):
@@ -16,7 +21,10 @@
     return port.isdecimal() and 0 < int(port) <= MAX_PORT
 
 
+@functools.lru_cache(maxsize=MAX_KEPT)
 def split_address(address):
-    """Return (ip, port) of an `ip:port` address."""
+    """Return (ip, port) of an address; raise `errors.InvalidInputError`."""
+    if not is_address(address):
+        raise errors.InvalidInputError(f'{address!r:.60} is no address')
     ip_text, _, port = address.rpartition(':')
     return ip_text.strip('[]'), int(port)
--- a/laburnumlatch/core/datagrams.py
+++ b/laburnumlatch/core/datagrams.py
@@ -60,7 +60,7 @@
             return
         try:
             self._socket.sendto(body, addresses.split_address(message.address))
-        except OSError as error:
+        except (OSError, errors.InvalidInputError) as error:
             _log.debug('send-failed', address=message.address, detail=error)
 
     def _receive(self):
--- a/laburnumlatch/core/storelink.py
+++ b/laburnumlatch/core/storelink.py
@@ -1,11 +1,12 @@
 """Front end to the platform's store: runs reads and writes off the tick."""
 
-import asyncio
+import functools
 
 from laburnumlatch.core import errors
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
+from laburnumlatch.core import tasks
 
 _log = logs.logger('store')
 
@@ -23,7 +24,7 @@
         """Talk to `store`, a `store.Store`."""
         super().__init__(post)
         self._store = store
-        self._tasks = set()
+        self._tasks = tasks.Tasks()
         self._is_lost = False
 
     async def start(self):
@@ -31,14 +32,13 @@
 
     async def stop(self):
         """Drop reads and writes that wait for an answer."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def carry_out(self, message):
         """Start one read or write."""
-        task = asyncio.ensure_future(self._answer(message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(
+            self._answer(message), functools.partial(self._fail, message)
+        )
 
     async def ask(self, message):
         """Return the answer to one call; raise `errors.StoreError`."""
@@ -57,6 +57,12 @@
         )
         return storemsg.StoreWritten(message.ticket, version)
 
+    def _fail(self, message, error):
+        """Report a call that ended in a way that nobody expects."""
+        answer = storemsg.StoreFailed(message.ticket, repr(error))
+        self._note_store(answer)
+        self._post(answer)
+
     async def _answer(self, message):
         try:
             answer = await self.ask(message)
--- a/laburnumlatch/core/wire.py
+++ b/laburnumlatch/core/wire.py
@@ -13,6 +13,8 @@
 # The start of a zlib stream; no packed row starts so, as rows are maps.
 COMPRESSED_START = b'x'
 COMPRESSION_LEVEL = 6
+# What a row of the store may unpack to: a plan of 100,000 pieces has 10 MB.
+MAX_ROW_BYTES = 16_777_216
 
 _STRUCTURE_ERRORS = (
     cattrs_errors.BaseValidationError,
@@ -20,6 +22,9 @@
     ValueError,
     KeyError,
     IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
 )
 _UNPACK_ERRORS = (msgpack.UnpackException, zlib.error, *_STRUCTURE_ERRORS)
 
@@ -80,12 +85,20 @@
     """Return an attrs row of class `kind`; raise `errors.WireError`."""
     try:
         if body.startswith(COMPRESSED_START):
-            body = zlib.decompress(body)
+            body = _decompress(body)
         return _converter.structure(msgpack.unpackb(body), kind)
     except _UNPACK_ERRORS as error:
         raise errors.WireError(f'bad {kind.__name__}: {error}') from error
 
 
+def _decompress(body):
+    inflate = zlib.decompressobj()
+    unpacked = inflate.decompress(body, MAX_ROW_BYTES)
+    if not inflate.eof:
+        raise errors.WireError('a row that is cut, or unpacks to too much')
+    return unpacked
+
+
 def _unpack_head(body):
     try:
         version, number, fields = msgpack.unpackb(body)
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -50,7 +50,7 @@
     def data_received(self, chunk):
         """Decode what is complete; close the connection at bad input."""
         try:
-            self._buffer += self._inflate.decompress(chunk)
+            self._take(chunk)
             for message in self._messages():
                 self.received(message)
         except (errors.WireError, zlib.error, KeyError) as error:
@@ -69,6 +69,12 @@
         packed += self._deflate.compress(body)
         self.transport.write(packed + self._deflate.flush(zlib.Z_SYNC_FLUSH))
 
+    def _take(self, chunk):
+        room = MAX_FRAME_BYTES + _LENGTH.size - len(self._buffer)
+        self._buffer += self._inflate.decompress(chunk, max(1, room))
+        if self._inflate.unconsumed_tail:
+            raise errors.WireError('more bytes than a frame may have')
+
     def _messages(self):
         start = 0
         found = []
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -168,9 +168,13 @@
 
 def _take_row(world, row):
     if row.key.startswith(PLAN_PREFIX):
-        take_plan(world, wire.unpack(row.body, ranges.Plan), row.version)
+        plan = ranges.check(wire.unpack(row.body, ranges.Plan))
+        take_plan(world, plan, row.version)
     elif row.key.startswith(HOST_PREFIX):
-        _take_host(world, wire.unpack(row.body, rows.HostRecord), row.version)
+        record = wire.unpack(row.body, rows.HostRecord)
+        if row.key != f'{HOST_PREFIX}{record.host_id}':
+            raise errors.WireError(f'row of host {record.host_id}')
+        _take_host(world, record, row.version)
 
 
 def _take_host(world, record, version):
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -4,6 +4,7 @@
 
 from laburnumlatch.core import addresses
 from laburnumlatch.core import clock
+from laburnumlatch.core import errors
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
@@ -18,7 +19,7 @@
 QUIET_MS = 350
 SILENT_MS = 800
 # A row of the store may name an address that there cannot be.
-_DIAL_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
+_DIAL_ERRORS = (OSError, TimeoutError, errors.InvalidInputError)
 
 _log = logs.logger('peers')
 
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -222,5 +222,5 @@
         self.send(peermsg.Pong())
 
     def _plan(self, message):
-        plan = wire.unpack(message.packed, ranges.Plan)
+        plan = ranges.check(wire.unpack(message.packed, ranges.Plan))
         self._link.post(messages.PlanTold(plan, message.row_version))
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from laburnumlatch.core import errors
+
 KEY_COUNT = 65_536
 # Load is counted and moved by cells of so many keys.
 KEYS_PER_CELL = 16
@@ -68,6 +70,21 @@
         return tuple(piece.start for piece in self.pieces)
 
 
+def check(plan):
+    """Return a plan that came from outside if it names an owner of each key.
+
+    Raises `errors.WireError`.
+    """
+    following = 0
+    for piece in plan.pieces:
+        if piece.start != following or piece.end < piece.start:
+            raise errors.WireError(f'plan with a gap at {following}')
+        following = piece.end + 1
+    if following != KEY_COUNT:
+        raise errors.WireError(f'plan that ends at {following}')
+    return plan
+
+
 def overlap(first, second):
     """Return the common (start, end) of two ranges, or None."""
     start = max(first.start, second.start)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -39,7 +39,7 @@
     domain: str
     address: str
     state: HostState
-    slots: int = 0
+    slots: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     life: ranges.Life | None = None
 
 
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -1,13 +1,13 @@
 """What a backend server tells of itself, decoded to the product's messages."""
 
 import functools
-import json
 import types
 
 from laburnumlatch.core import errors
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.platform import durations
+from laburnumlatch.platform import jsontext
 
 HEARTBEAT = 'instances.heartbeat'
 DEREGISTER = 'instances.deregister'
@@ -28,7 +28,7 @@
     if call != HEARTBEAT:
         raise errors.InvalidInputError('no such call')
     try:
-        return _announced(server_id, json.loads(body))
+        return _announced(server_id, jsontext.decode(body))
     except _ERRORS as error:
         raise errors.InvalidInputError(f'announcement: {error!r}') from error
 
@@ -36,25 +36,11 @@
 def _announced(server_id, document):
     return functools.partial(
         backendmsg.BackendAnnounced,
-        life=ranges.Life(server_id, _whole(document, 'born')),
-        service=_text(document, 'service'),
-        address=_text(document, 'address'),
-        slots=_whole(document, 'slots'),
+        life=ranges.Life(server_id, jsontext.whole(document, 'born')),
+        service=jsontext.text(document, 'service'),
+        address=jsontext.text(document, 'address'),
+        slots=jsontext.whole(document, 'slots'),
         is_draining=_IS_DRAINING[document['state']],
-        sequence=_whole(document, 'sequence'),
+        sequence=jsontext.whole(document, 'sequence'),
         cold_ms=durations.parse(document.get('cold_remaining', '0ms')),
     )
-
-
-def _whole(document, name):
-    number = document[name]
-    if type(number) is not int or number < 0:
-        raise errors.InvalidInputError(f'{name} is {number!r}')
-    return number
-
-
-def _text(document, name):
-    text = document[name]
-    if not isinstance(text, str):
-        raise errors.InvalidInputError(f'{name} is {text!r}')
-    return text
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -11,6 +11,7 @@
 from laburnumlatch.core import curlclient
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
+from laburnumlatch.core import tasks
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import checkingclient
@@ -63,7 +64,7 @@
             most_bytes=int(memory_bytes * ANSWERS_RATE),
         )
         self._exchanges = {}
-        self._tasks = set()
+        self._tasks = tasks.Tasks()
         self._is_closed = False
 
     async def start(self):
@@ -72,8 +73,7 @@
     async def stop(self):
         """Close all connections."""
         self._is_closed = True
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._client.close()
 
     def carry_out(self, message):
@@ -94,18 +94,19 @@
             if exchange is not None:
                 exchange.cancel()
         elif isinstance(message, backendmsg.GiveGrant):
-            self._run(self._grant(message))
+            unknown = backendmsg.GrantAnswered(message.ticket, None)
+            self._run(self._grant(message), unknown)
         else:
-            self._run(self._release(message))
+            unknown = backendmsg.TakenBack(message.ticket, False, '')
+            self._run(self._release(message), unknown)
 
     def _ended(self, event):
         self._exchanges.pop((event.number, event.exchange), None)
         self._post(event)
 
-    def _run(self, work):
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    def _run(self, work, unknown):
+        """Make a call; report `unknown` if it ends without an answer."""
+        self._tasks.start(work, lambda _error: self._post(unknown))
 
     async def _grant(self, message):
         body = {
--- a/laburnumlatch/platform/configrows.py
+++ b/laburnumlatch/platform/configrows.py
@@ -1,11 +1,11 @@
 """The operator's configuration, decoded to the product's types."""
 
-import json
 import types
 
 from laburnumlatch.core import errors
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import durations
+from laburnumlatch.platform import jsontext
 
 KINDS = types.MappingProxyType({
     'safe': routes.Kind.SAFE,
@@ -19,9 +19,9 @@
 def decode(body):
     """Return `routes.Configuration`; raise `errors.InvalidInputError`."""
     try:
-        document = json.loads(body)
+        document = jsontext.decode(body)
         return routes.Configuration(
-            version=int(document['version']),
+            version=jsontext.whole(document, 'version'),
             routes=tuple(_route(row) for row in _rows(document['routes'])),
             services={
                 row['name']: _service(row)
@@ -49,30 +49,31 @@
 def _route(row):
     split = row.get('traffic_split')
     if split is None:
-        shares = (routes.Share(row['service'], 1),)
+        shares = (routes.Share(jsontext.text(row, 'service'), 1),)
     else:
         shares = tuple(
-            routes.Share(part['service'], part['weight']) for part in split
+            routes.Share(jsontext.text(part, 'service'), _weight(part))
+            for part in split
         )
     return routes.Route(
-        name=row['name'],
-        host=row['host'].lower(),
-        prefix=row['path_prefix'],
+        name=jsontext.text(row, 'name'),
+        host=jsontext.text(row, 'host').lower(),
+        prefix=jsontext.text(row, 'path_prefix'),
         # A kind that is not known must not be repeated.
         kind=KINDS.get(row.get('kind'), routes.Kind.ONCE),
         shares=shares,
         timeout_ms=_duration(row, 'timeout', None),
         target_ms=_duration(row, 'target_latency', None),
-        priority=int(row.get('priority', routes.DEFAULT_PRIORITY)),
-        attempts=int(row.get('max_attempts', 1)),
+        priority=_number(row, 'priority', routes.DEFAULT_PRIORITY),
+        attempts=_number(row, 'max_attempts', 1),
     )
 
 
 def _service(row):
     return routes.Service(
-        name=row['name'],
+        name=jsontext.text(row, 'name'),
         health_path=row.get('health_path', '/health'),
-        connections=int(row.get('max_connections', DEFAULT_CONNECTIONS)),
+        connections=_number(row, 'max_connections', DEFAULT_CONNECTIONS),
         is_divided=bool(row.get('sharded', False)),
         warmup_ms=_duration(row, 'warmup', 0),
     )
@@ -81,8 +82,8 @@
 def _limits(row):
     usual = routes.Limits()
     return routes.Limits(
-        header_bytes=int(row.get('max_header_bytes', usual.header_bytes)),
-        body_bytes=int(row.get('max_body_bytes', usual.body_bytes)),
+        header_bytes=_number(row, 'max_header_bytes', usual.header_bytes),
+        body_bytes=_number(row, 'max_body_bytes', usual.body_bytes),
         header_timeout_ms=_duration(
             row, 'header_timeout', usual.header_timeout_ms
         ),
@@ -90,6 +91,17 @@
     )
 
 
+def _weight(part):
+    weight = part['weight']
+    if type(weight) not in {int, float} or weight < 0:
+        raise errors.InvalidInputError(f'weight is {weight!r}')
+    return weight
+
+
+def _number(row, name, default):
+    return jsontext.whole(row, name) if name in row else default
+
+
 def _duration(row, name, default):
     text = row.get(name)
     if text is None:
--- a/laburnumlatch/platform/durations.py
+++ b/laburnumlatch/platform/durations.py
@@ -6,14 +6,16 @@
 from laburnumlatch.core import clock
 from laburnumlatch.core import errors
 
+# No duration of the platform comes near to ten years.
+MAX_DIGITS = 12
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 
 
 def parse(text):
     """Return `text` in whole ms; raise `errors.InvalidInputError`."""
     match = _DURATION.fullmatch(text) if isinstance(text, str) else None
-    if match is None:
-        raise errors.InvalidInputError(f'{text!r} is no duration')
+    if match is None or len(match.group(1)) > MAX_DIGITS:
+        raise errors.InvalidInputError(f'{text!r:.40} is no duration')
     number = float(match.group(1))
     if match.group(2) == 's':
         number *= clock.MS_PER_S
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -5,17 +5,21 @@
 """
 
 import base64
+import itertools
 import json
 from urllib import parse as urlparse
 
+import attrs
 from tornado import curl_httpclient
 from tornado import httpclient
 
 from laburnumlatch.core import clock
 from laburnumlatch.core import curlclient
 from laburnumlatch.core import errors
+from laburnumlatch.core import logs
 from laburnumlatch.core import store
 from laburnumlatch.core import storemsg
+from laburnumlatch.platform import jsontext
 
 CONNECT_TIMEOUT_MS = 600
 # A slow store takes about 60 times as long as the 8 ms of a transaction.
@@ -28,6 +32,16 @@
 # The store answers so above its rates, and while it refuses a machine.
 REJECTED_STATUSES = frozenset((429, 503))
 MAX_CLIENTS = 12
+_ROW_ERRORS = (
+    errors.InvalidInputError,
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    AttributeError,
+)
+
+_log = logs.logger('store')
 
 
 class TableStore(store.Store):
@@ -58,15 +72,14 @@
         version = None
         while True:
             query = {'table': name, 'part': '', 'from': start}
-            document = await self._call('/rows-get', query)
-            rows = [_row(fields) for fields in document['rows']]
-            found.extend(rows)
+            page = _page(await self._call('/rows-get', query))
+            found.extend(page.rows)
             # Rows of later pages may be newer; a watch then repeats them.
-            version = document['ver'] if version is None else version
-            if not document['has_more'] or not rows:
+            version = page.version if version is None else version
+            if page.last_key is None:
                 break
             # The least key that is greater than the last one.
-            start = f'{rows[-1].key.partition("/")[2]}\0'
+            start = f'{page.last_key}\0'
         own = tuple(row for row in found if row.key.startswith(table))
         return storemsg.Changes(own, version)
 
@@ -80,12 +93,8 @@
         document = await self._call(
             '/rows-feed', query, timeout_ms=wait_ms + WATCH_MARGIN_MS
         )
-        rows = tuple(
-            _row(fields)
-            for fields in document['rows']
-            if not fields.get('removed')
-        )
-        return storemsg.Changes(rows, document['ver'])
+        page = _page(document)
+        return storemsg.Changes(page.rows, page.version)
 
     async def transact(self, writes, guards=()):
         """Write all rows or none; return the version they all get."""
@@ -107,7 +116,7 @@
             'remove': [],
         })
         document = await self._call('/rows-tx', {}, method='POST', body=body)
-        return document['ver']
+        return _version(document)
 
     async def _call(self, path, query, timeout_ms=TIMEOUT_MS, **options):
         url = self._base + path
@@ -140,8 +149,8 @@
     if response.code != STATUS_OK:
         raise errors.StoreUnavailableError(f'status {response.code}')
     try:
-        return json.loads(response.body)
-    except ValueError as error:
+        return jsontext.decode(response.body)
+    except errors.InvalidInputError as error:
         raise errors.StoreUnavailableError(f'bad answer: {error}') from error
 
 
@@ -150,9 +159,47 @@
     return {'table': table, 'part': '', 'key': own_key}
 
 
+@attrs.define(frozen=True)
+class _Page:
+    """Rows of one answer that can be read; `last_key` if more follow."""
+
+    rows: tuple
+    version: int
+    last_key: str | None
+
+
+def _page(document):
+    try:
+        listed = document['rows']
+        last_key = None
+        if listed and document.get('has_more'):
+            last_key = jsontext.text(listed[-1], 'key')
+        rows = tuple(itertools.chain.from_iterable(map(_readable, listed)))
+    except _ROW_ERRORS as error:
+        raise errors.StoreUnavailableError(f'bad answer: {error!r}') from error
+    return _Page(rows, _version(document), last_key)
+
+
+def _version(document):
+    try:
+        return jsontext.whole(document, 'ver')
+    except _ROW_ERRORS as error:
+        raise errors.StoreUnavailableError(f'bad answer: {error!r}') from error
+
+
+def _readable(fields):
+    """Yield the row, if there is one and it can be read."""
+    try:
+        if not fields.get('removed'):
+            yield _row(fields)
+    except _ROW_ERRORS as error:
+        _log.error('row-unreadable', row=f'{fields!r:.80}', detail=repr(error))
+
+
 def _row(fields):
+    table = jsontext.text(fields, 'table')
     return storemsg.StoreRow(
-        f'{fields["table"]}/{fields["key"]}',
-        fields['ver'],
-        base64.b64decode(fields['value']),
+        f'{table}/{jsontext.text(fields, "key")}',
+        jsontext.whole(fields, 'ver'),
+        base64.b64decode(jsontext.text(fields, 'value'), validate=True),
     )
