Take only work that ends before a planned stop does

Operators of systems like this reported that, in a planned stop in calm, requests that came late in the grace were taken, passed on and cut off with no answer, among them some that may not be repeated. It could happen here.

Cause: work started until 2.3 s before the end of the grace time, whatever time the request had; callers of the stopping agent were served for 2.5 s with any deadline. With work of 2.6 s and deadlines of 3.4 s a forward was running when the process ended, and a booking was read and never answered.

Change: once it has been told to stop, an agent takes a request only if its deadline, and 0.2 s for the answer, lie before the end; another one is refused at once, as not run, and tried elsewhere. Requests without any deadline are refused from the signal on.

Evidence: TestLongWork: forwards cut off at m0, a booking of a caller of b0 never answered, before; none now, and half of what callers ask for in the first 2.5 s is still served.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
@@ -29,6 +30,10 @@
             requests.refuse(
                 world, request, obstacle.reason, obstacle.retry_after_ms
             )
+        elif not leaving.ends_in_time(world, request):
+            requests.refuse(
+                world, request, _STOPPING.reason, _STOPPING.retry_after_ms
+            )
         elif _is_too_late(world, request, now):
             requests.refuse(
                 world,
@@ -46,6 +51,9 @@
     retry_after_ms: int
 
 
+_STOPPING = Obstacle(messages.Reason.STOPPING, RESTART_MS)
+
+
 def enter(world, request, now):
     """Queue a request for the local backend server.
 
@@ -56,6 +64,8 @@
     obstacle = obstacle_to_all(world, now)
     if obstacle is not None:
         return obstacle
+    if not leaving.ends_in_time(world, request):
+        return _STOPPING
     if not request.is_nested and not throttling.admits(world, request.route):
         decisions.note(
             world,
@@ -115,8 +125,6 @@
         return Obstacle(messages.Reason.SERVER_DOWN, DOWN_RETRY_MS)
     if is_closed(backend, now):
         return Obstacle(messages.Reason.NOT_OWNER, 0)
-    if world.is_finishing(now):
-        return Obstacle(messages.Reason.SERVER_DOWN, RESTART_MS)
     return None
 
 
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -67,6 +67,11 @@
         left_ms=request.deadline - now,
     )
     _keep(world, request, now)
+    if parent is None and not leaving.ends_in_time(world, request):
+        # Its answer could no longer be passed on from here.
+        requests.refuse(
+            world, request, messages.Reason.STOPPING, NOT_READY_RETRY_MS
+        )
 
 
 def _refuse(world, arrived, verdict, reason):
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -9,6 +9,11 @@
 # The process must be gone before the platform ends it.
 MARGIN_MS = 300
 QUIET_MS = 300
+# An answer, or the end of a request at its deadline, takes this much longer to
+# reach the caller.
+ANSWER_MS = 200
+# Keys that have no next owner so long before the end stay here.
+KEYS_STAY_MS = 2300
 # Forwards that were on their way when the last request ended are refused for
 # this time; what started later would be cut off by the end of the process.
 LAST_FORWARDS_MS = 200
@@ -25,7 +30,7 @@
     since = world.stopping_since
     if since is None:
         return
-    last = since + world.settings.bounds.grace_ms - MARGIN_MS
+    last = _last(world)
     is_open = world.closing_since is None
     if is_open and now >= since + SERVE_MS and _is_done(world, now):
         world.closing_since = now
@@ -38,12 +43,27 @@
 def refuses_callers(world, now):
     """Tell whether new requests of callers on this host are refused.
 
-    They would still be under way when the process has to end.
+    Callers have been told to leave by then.
     """
     since = world.stopping_since
     return since is not None and now >= since + SERVE_MS
 
 
+def ends_in_time(world, request):
+    """Tell whether a request has ended by itself before the process must.
+
+    It may last until its deadline, however long such work usually takes.
+    """
+    if world.stopping_since is None:
+        return True
+    return request.deadline + ANSWER_MS <= _last(world)
+
+
+def _last(world):
+    grace_ms = world.settings.bounds.grace_ms
+    return world.stopping_since + grace_ms - MARGIN_MS
+
+
 def _has_closed(world, now):
     since = world.closing_since
     return since is not None and now >= since + LAST_FORWARDS_MS
@@ -61,4 +81,4 @@
     """
     if len(world.requests):
         return False
-    return world.is_finishing(now) or not len(world.holdings)
+    return now >= _last(world) - KEYS_STAY_MS or not len(world.holdings)
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -13,10 +13,6 @@
 from laburnumlatch.mesh import settings as settings_module
 from laburnumlatch.mesh import waiting
 
-# Work that starts later than this before the end of the grace time might be
-# cut off by it.
-FINISH_MS = 2300
-
 
 @attrs.define(kw_only=True)
 class World(ticking.TickState):
@@ -86,13 +82,6 @@
         """Version of the configuration in force, 0 if there is none yet."""
         return 0 if self.configuration is None else self.configuration.version
 
-    def is_finishing(self, now):
-        """Tell whether this process is to end soon and starts no more work."""
-        if self.stopping_since is None:
-            return False
-        last = self.stopping_since + self.settings.bounds.grace_ms
-        return now >= last - FINISH_MS
-
     def next_ticket(self):
         """Return a number that no other message of this agent bears."""
         self._tickets += 1
