Tell agents what has changed in a plan, not the whole plan

Cause: each plan went whole to all hosts: 343 pieces to 104 hosts a second, and once more for each renewal that had been sent before the plan arrived. A link of 10 Mbit/s is full then, connections to it time out, plans come later, and more renewals show an old version. Besides, a lease that outran its plan made each agent read the plans from the store at once.

Change: the planner tells what is new against the plan before; an agent that does not know that one gets the whole plan with a renewal 1.2 s later, or reads the store 0.4 s after the lease told of it. Messages about plans and the arithmetic of changes have modules of their own. A plan finds a key without a list of starts.

--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -17,6 +17,7 @@
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings
 from laburnumlatch.mesh import ticks
@@ -58,6 +59,7 @@
         self.stopped = {}
         self.cut_off = []
         self.loses_plans = 0
+        self.told_plans = []
         self.link_ms_per_kb = 0
         self.outcomes = {}
         self.arrived = {}
@@ -225,15 +227,21 @@
             self.stop(host_id)
 
     def _send_plans(self, host_id, outbox):
-        for told in outbox.take(messages.SendPlan):
+        sent = [
+            (told, planmsg.PlanTold(told.plan, told.row_version))
+            for told in outbox.take(planmsg.SendPlan)
+        ]
+        sent += [
+            (told, planmsg.PlanChangeTold(told.change, told.row_version))
+            for told in outbox.take(planmsg.SendPlanChange)
+        ]
+        for told, arriving in sent:
+            self.told_plans.append(told)
             if self.loses_plans:
                 self.loses_plans -= 1
             elif not self.is_cut(host_id, told.host_id):
                 self.later(
-                    fleetconfig.LINK_MS,
-                    self.post,
-                    told.host_id,
-                    messages.PlanTold(told.plan, told.row_version),
+                    fleetconfig.LINK_MS, self.post, told.host_id, arriving
                 )
 
     def _grant(self, host_id, give):
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -93,7 +93,7 @@
     `expires` is when the last lease that this planner gave has ended for
     certain, `heard` when the host last spoke under the present term,
     `first_heard` when it first did, `ready_since` when it first told of a
-    backend server.
+    backend server, `told_at` when it was last sent a plan or a change.
     """
 
     host_id: str
@@ -103,6 +103,7 @@
     heard: int = 0
     first_heard: int | None = None
     ready_since: int | None = None
+    told_at: int | None = None
     life: ranges.Life | None = None
     slots: int = 0
     is_leaving: bool = False
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -13,6 +13,8 @@
 # Renewals that are not answered by then are forgotten.
 MAX_SENT = 16
 MAX_CELLS = 120
+# A plan may be on its way for this time, behind others on a full link.
+RETELL_MS = 1200
 
 _log = logs.logger('leases')
 
@@ -127,9 +129,17 @@
         _take(world, answer, now)
         return
     world.outbox.post(leasemsg.SendDatagram(renew.address, answer))
+    _tell_plans(world, renew, lessee, now)
+
+
+def _tell_plans(world, renew, lessee, now):
+    """Send the plans that a host does not know and has not just been sent."""
+    if lessee.told_at is not None and now < lessee.told_at + RETELL_MS:
+        return
     known = dict(renew.plan_versions)
     for row in world.plans:
         if known.get(row.plan.service, 0) < row.plan.version:
+            lessee.told_at = now
             planner.tell(
                 world, renew.host_id, renew.address, row.plan, row.row_version
             )
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -7,7 +7,8 @@
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import planchanges
+from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
 
@@ -27,7 +28,8 @@
 WATCH_PAUSE_MS = 500
 # How often the own row is compared with what it should say.
 OWN_ROW_MS = 100
-# The planner's plan comes directly; the store is asked if it does not.
+# The planner's plan comes directly; the store is asked if it has not come this
+# long after a lease that tells of it.
 PLANS_MS = 400
 # A call to the store that is not answered by then is made again.
 CALL_MS = 2000
@@ -44,10 +46,11 @@
     if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
         world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
     _watch_again(world, now)
-    for told in world.inbox.take(messages.PlanTold):
+    for told in world.inbox.take(planmsg.PlanTold):
         take_plan(world, told.plan, told.row_version)
-    if _misses_plans(world) and world.due(PLANS_TICKET, PLANS_MS, now):
-        world.outbox.post(storemsg.StoreRead(PLANS_TICKET, PLAN_PREFIX))
+    for change_told in world.inbox.take(planmsg.PlanChangeTold):
+        _take_change(world, change_told)
+    _read_plans(world, now)
     for failed in world.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _failed(world, failed, now)
     for read in world.inbox.take_answers(storemsg.StoreChanges, TICKET):
@@ -97,6 +100,21 @@
     )
 
 
+def _take_change(world, told):
+    """Keep the plan that a change leads to, if the one before is known."""
+    change = told.change
+    known = world.plan_of(change.service)
+    if known is None or known.version >= change.version:
+        return
+    try:
+        plan = planchanges.changed(known, change)
+    except planchanges.UnfitChangeError as error:
+        # The whole plan follows with the next lease or from the store.
+        _log.info('plan-change-unfit', known=known.version, detail=error)
+        return
+    take_plan(world, plan, told.row_version)
+
+
 def take_rows(world, found):
     """Keep what rows of the store say of hosts and plans."""
     for row in found:
@@ -111,6 +129,20 @@
     world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
+def _read_plans(world, now):
+    """Read the plans at the start, and if one that is known of is missing."""
+    if not _misses_plans(world):
+        world.plans_missed_since = None
+        return
+    if world.plans_missed_since is None:
+        world.plans_missed_since = now
+    read_at = world.plans_missed_since + PLANS_MS
+    if world.has_plans and now < read_at:
+        world.wake_at(read_at)
+    elif world.due(PLANS_TICKET, PLANS_MS, now):
+        world.outbox.post(storemsg.StoreRead(PLANS_TICKET, PLAN_PREFIX))
+
+
 def _misses_plans(world):
     """Tell whether the planner knows a newer plan, or none is known yet."""
     if not world.has_plans:
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings as settings_module
 
@@ -281,27 +280,6 @@
     exchange: int
 
 
-# Plans of divided services.
-
-
-@attrs.define(frozen=True)
-class SendPlan:
-    """Tell the agent of a host of a plan that the planner has written."""
-
-    host_id: str
-    address: str
-    plan: ranges.Plan
-    row_version: int
-
-
-@attrs.define(frozen=True)
-class PlanTold:
-    """The planner has written this plan, as `row_version` of its row."""
-
-    plan: ranges.Plan
-    row_version: int
-
-
 # Configuration.
 
 
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -11,6 +11,8 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import outbound
 from laburnumlatch.mesh import peermsg
+from laburnumlatch.mesh import planchanges
+from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import transit
 
@@ -28,7 +30,8 @@
         messages.CancelForward,
         messages.ReplyAnswer,
         messages.ReplyRefusal,
-        messages.SendPlan,
+        planmsg.SendPlan,
+        planmsg.SendPlanChange,
     )
 
     def __init__(self, post, address, host_id, numbers, time_source):
@@ -43,6 +46,14 @@
         self._asked = {}
         self._told_plans = {}
         self._checks = None
+        self._senders = {
+            messages.SendForward: self._ask,
+            messages.CancelForward: self._cancel,
+            messages.ReplyAnswer: self._reply,
+            messages.ReplyRefusal: self._reply,
+            planmsg.SendPlan: self._tell_plan,
+            planmsg.SendPlanChange: self._tell_change,
+        }
 
     async def start(self):
         """Listen; raise OSError if the address cannot be had."""
@@ -64,19 +75,8 @@
             dialed.close()
 
     def carry_out(self, message):
-        """Send a request, a cancellation or a reply."""
-        if isinstance(message, messages.SendForward):
-            dialed = self._outbound(message.host_id, message.address)
-            dialed.ask(message.forward)
-        elif isinstance(message, messages.SendPlan):
-            dialed = self._outbound(message.host_id, message.address)
-            dialed.tell(message.plan.service, self._plan_frame(message))
-        elif isinstance(message, messages.CancelForward):
-            dialed = self._dialed.get(message.host_id)
-            if dialed is not None:
-                dialed.cancel(message.number, message.exchange)
-        else:
-            self._reply(message)
+        """Send a request, a cancellation, a reply or a plan."""
+        self._senders[type(message)](message)
 
     def now(self):
         """Return the time in ms."""
@@ -114,14 +114,30 @@
         if self._dialed.get(host_id) is dialed:
             self._dialed.pop(host_id)
 
-    def _plan_frame(self, message):
-        """Return the frame of a plan, made once for all hosts."""
-        told = self._told_plans.get(message.plan.service)
-        if told is None or told.row_version != message.row_version:
-            packed = wire.pack_compressed(message.plan)
-            told = peermsg.Plan(packed, message.row_version)
-            self._told_plans[message.plan.service] = told
-        return told
+    def _ask(self, message):
+        dialed = self._outbound(message.host_id, message.address)
+        dialed.ask(message.forward)
+
+    def _cancel(self, message):
+        dialed = self._dialed.get(message.host_id)
+        if dialed is not None:
+            dialed.cancel(message.number, message.exchange)
+
+    def _tell_plan(self, message):
+        self._tell(message, message.plan, peermsg.Plan)
+
+    def _tell_change(self, message):
+        self._tell(message, message.change, peermsg.PlanChange)
+
+    def _tell(self, message, told, kind):
+        """Send a plan or a change in a frame that is made once for all."""
+        key = (told.service, kind)
+        frame = self._told_plans.get(key)
+        if frame is None or frame.row_version != message.row_version:
+            frame = kind(wire.pack_compressed(told), message.row_version)
+            self._told_plans[key] = frame
+        dialed = self._outbound(message.host_id, message.address)
+        dialed.tell(key, frame)
 
     def _outbound(self, host_id, address):
         known = self._dialed.get(host_id)
@@ -191,10 +207,11 @@
             peermsg.Cancel: self._cancel,
             peermsg.Ping: self._ping,
             peermsg.Plan: self._plan,
+            peermsg.PlanChange: self._plan_change,
         }
 
     def received(self, message):
-        """Take in a request, a cancellation, a ping or a plan."""
+        """Act on a frame by its kind."""
         self._takers[type(message)](message)
 
     def connection_lost(self, error):
@@ -223,4 +240,8 @@
 
     def _plan(self, message):
         plan = ranges.check(wire.unpack(message.packed, ranges.Plan))
-        self._link.post(messages.PlanTold(plan, message.row_version))
+        self._link.post(planmsg.PlanTold(plan, message.row_version))
+
+    def _plan_change(self, message):
+        change = wire.unpack(message.packed, planchanges.Change)
+        self._link.post(planmsg.PlanChangeTold(change, message.row_version))
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -83,4 +83,15 @@
     row_version: int
 
 
-KINDS = (Hello, Ask, Cancel, Answered, Refused, Ping, Pong, Plan)
+@attrs.define(frozen=True)
+class PlanChange:
+    """What a plan that the sender has written has new against the last one.
+
+    `packed` is a `planchanges.Change`, `row_version` that of the plan's row.
+    """
+
+    packed: bytes
+    row_version: int
+
+
+KINDS = (Hello, Ask, Cancel, Answered, Refused, Ping, Pong, Plan, PlanChange)
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -12,7 +12,8 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import planchanges
+from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
 
@@ -77,8 +78,9 @@
     for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         write = world.plan_writes.pop(written.ticket)
         if write is not None:
+            known = world.plan_of(write.plan.service)
             members.take_plan(world, write.plan, written.version)
-            _tell_all(world, write.plan, written.version)
+            _tell_all(world, known, write.plan, written.version, now)
     for refused in world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _log.info('plan-refused', ticket=refused.ticket)
         world.plan_writes.pop(refused.ticket)
@@ -103,16 +105,31 @@
         write.failed = now
 
 
-def _tell_all(world, plan, row_version):
-    """Send a new plan to all agents: a watch of each would cost a call."""
+def _tell_all(world, known, plan, row_version, now):
+    """Tell all agents of a plan that has taken the place of `known`.
+
+    A watch of each would cost a call; whole plans fill the links of hosts.
+    """
+    for lessee in world.lessees:
+        lessee.told_at = now
+    change = None if known is None else planchanges.difference(known, plan)
     for host in members.live_hosts(world):
-        if host.host_id != world.host_id:
-            tell(world, host.host_id, host.record.address, plan, row_version)
+        if host.host_id == world.host_id:
+            continue
+        address = host.record.address
+        if change is None:
+            tell(world, host.host_id, address, plan, row_version)
+        else:
+            world.outbox.post(
+                planmsg.SendPlanChange(
+                    host.host_id, address, change, row_version
+                )
+            )
 
 
 def tell(world, host_id, address, plan, row_version):
-    """Send a plan to the agent of one host."""
-    world.outbox.post(messages.SendPlan(host_id, address, plan, row_version))
+    """Send a whole plan to the agent of one host."""
+    world.outbox.post(planmsg.SendPlan(host_id, address, plan, row_version))
 
 
 def _take_read(world, read):
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -1,6 +1,7 @@
 """Key ranges of a divided service: pure functions over a plan."""
 
 import bisect
+import operator
 
 import attrs
 
@@ -9,6 +10,7 @@
 KEY_COUNT = 65_536
 # Load is counted and moved by cells of so many keys.
 KEYS_PER_CELL = 16
+_start_of = operator.attrgetter('start')
 
 
 @attrs.define(frozen=True)
@@ -59,15 +61,14 @@
     service: str
     version: int
     pieces: tuple[Piece, ...]
-    _starts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
 
     def piece_of(self, key):
         """Return the piece that covers `key`."""
-        return self.pieces[bisect.bisect_right(self._starts, key) - 1]
+        return self.pieces[self.index_of(key)]
 
-    @_starts.default
-    def _collect_starts(self):
-        return tuple(piece.start for piece in self.pieces)
+    def index_of(self, key):
+        """Return the index of the piece that covers `key`."""
+        return bisect.bisect_right(self.pieces, key, key=_start_of) - 1
 
 
 def check(plan):
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -50,6 +50,8 @@
     has_members: bool = False
     has_plans: bool = False
     is_watching: bool = False
+    # Since when a lease has told of a plan that is not known here.
+    plans_missed_since: int | None = None
     # The version after which the next watch asks for rows, None if one runs.
     watch_after: int | None = None
     watch_at: int = 0
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -8,6 +8,7 @@
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
+from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
 
@@ -125,10 +126,10 @@
         life = ranges.Life('i-1', 17)
         plan = ranges.Plan('s', 3, ranges.equal([('a', life), ('b', life)]))
         agents.links['a'].carry_out(
-            messages.SendPlan('b', agents.ports['b'], plan, 9),
+            planmsg.SendPlan('b', agents.ports['b'], plan, 9),
         )
-        told = await agents.wait_for('b', messages.PlanTold)
-        assert told == messages.PlanTold(plan, 9)
+        told = await agents.wait_for('b', planmsg.PlanTold)
+        assert told == planmsg.PlanTold(plan, 9)
         await agents.stop()
 
     async def test_plan_is_packed_once_for_all_hosts(self, monkeypatch):
@@ -144,7 +145,7 @@
             plan = ranges.Plan('s', version, ranges.equal(owners))
             for _ in range(5):
                 agents.links['a'].carry_out(
-                    messages.SendPlan('b', agents.ports['b'], plan, version),
+                    planmsg.SendPlan('b', agents.ports['b'], plan, version),
                 )
         assert pack.call_count == 2
         await agents.stop()
