Let hosts with room hold the planner's role

Callers saw: requests at the planner's host were late while it planned.

Cause: agents looked for a lost planner in the order of their IDs, those beside an undivided service first. On the grown deployment all of these have 0.43 cores and 10 Mbit/s, though six hosts have 2.15 cores and 200 Mbit/s; the role went from one small host to the next, five to nine times in 50 s.

Change: settings and the row of a host say what it has; the order is by what binds first, core or link. Equal hosts keep their order.

--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -45,8 +45,12 @@
         seed=1,
         configuration=fleetconfig.CONFIGURATION,
         policies=None,
+        machines=None,
     ):
-        """`hosts` are (host_id, service, domain)."""
+        """`hosts` are (host_id, service, domain).
+
+        `machines` are fields of settings by host, for those that differ.
+        """
         self.now = START_MS
         self.rng = random.Random(seed)
         self.store = fleetstore.Store()
@@ -65,6 +69,7 @@
         self.arrived = {}
         self.ended = {}
         self.policies = policies or {}
+        self.machines = machines or {}
         self.domains = {}
         self._work = fleetwork.Work(self)
         self._store_link = fleetstore.Link(self)
@@ -97,6 +102,7 @@
             store_address='store:1',
             memory_bytes=10**8,
         )
+        own = attrs.evolve(own, **self.machines.get(host_id, {}))
         world = worlds.create(own, self.rng.getrandbits(SEED_BITS), self.now)
         self.worlds[host_id] = attrs.evolve(world, **self.policies)
 
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -83,6 +83,8 @@
         state=state,
         slots=0 if backend is None else backend.slots,
         life=None if backend is None else backend.life,
+        cores=own.cores,
+        link_mbps=own.link_mbps,
     )
 
 
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -28,6 +28,8 @@
 SILENCE_MS = 1500
 STAGGER_MS = 60
 MAX_STAGGERS = 12
+# A planner that uses a whole core fills a link of so many Mbit/s.
+MBPS_PER_CORE = 50
 # With a renewal this young the holder is certain that nobody took the role.
 SURE_MS = 2000
 # Without the store the holder goes on for this time, if a majority of the
@@ -255,16 +257,23 @@
 
 def _rank(world):
     """Return this host's place in the order in which agents look."""
-    own = world.settings
-    ids = sorted(
-        host.host_id
-        for host in members.live_hosts(world)
-        if not world.is_divided_host(host)
-    ) + sorted(
-        host.host_id
-        for host in members.live_hosts(world)
-        if world.is_divided_host(host)
+    hosts = sorted(
+        members.live_hosts(world),
+        key=lambda host: (
+            -_room(host.record),
+            world.is_divided_host(host),
+            host.host_id,
+        ),
     )
-    if own.host_id not in ids:
+    ids = [host.host_id for host in hosts[:MAX_STAGGERS]]
+    if world.host_id not in ids:
         return MAX_STAGGERS
-    return min(ids.index(own.host_id), MAX_STAGGERS)
+    return ids.index(world.host_id)
+
+
+def _room(record):
+    """Return how much work a planner could do on a host.
+
+    All hosts speak to the planner, so a slow link binds like a slow core.
+    """
+    return min(record.cores, record.link_mbps / MBPS_PER_CORE)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -32,7 +32,10 @@
 
 @attrs.define(frozen=True)
 class HostRecord:
-    """What a host says of itself in its row of the store."""
+    """What a host says of itself in its row of the store.
+
+    `cores` and `link_mbps` are what its machine has.
+    """
 
     host_id: str
     service: str
@@ -41,6 +44,8 @@
     state: HostState
     slots: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     life: ranges.Life | None = None
+    cores: float = 0
+    link_mbps: float = 0
 
 
 @attrs.define
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -44,5 +44,7 @@
     store_address: str
     memory_bytes: int
     metrics_address: str = ''
+    cores: float = 1
+    link_mbps: float = 1000
     bounds: Bounds = attrs.Factory(Bounds)
     log_level: str = 'info'
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -13,6 +13,7 @@
 PATH_VARIABLE = 'LABURNUMLATCH_BOOT'
 BYTES_PER_MB = 1_000_000
 DEFAULT_MEMORY_MB = 200
+DEFAULT_LINK_MBPS = 1000
 METRICS_PORT = 9464
 # The platform's names of the durations in `terms.bounds`, and ours.
 _DURATIONS = (
@@ -78,6 +79,8 @@
         metrics_address=reader.metrics_address(),
         store_address=reader.address('platform.platform.address'),
         memory_bytes=reader.memory_bytes(),
+        cores=reader.cores(),
+        link_mbps=reader.limit('link_mbps', DEFAULT_LINK_MBPS),
         bounds=reader.bounds(),
     )
     reader.found.raise_if_any()
@@ -122,11 +125,21 @@
 
     def memory_bytes(self):
         """Return what the process may use."""
-        limit = self._find('self.limits.memory_mb', DEFAULT_MEMORY_MB)
-        if type(limit) not in {int, float}:
-            self._add('self.limits.memory_mb', limit, 'a number of MB')
-            limit = DEFAULT_MEMORY_MB
-        return int(limit * BYTES_PER_MB)
+        return int(self.limit('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB)
+
+    def cores(self):
+        """Return how many cores of the usual speed the process may use."""
+        # The platform's `cpu_cores` tells how fast the core is.
+        return self.limit('cpu_share', 1) * self.limit('cpu_cores', 1)
+
+    def limit(self, field, default):
+        """Return a number of the host's limits."""
+        name = f'self.limits.{field}'
+        found = self._find(name, default)
+        if type(found) in {int, float}:
+            return found
+        self._add(name, found, 'a number')
+        return default
 
     def bounds(self):
         """Return the bounds; those that are missing keep their defaults."""
