Take what a backend server says in the order in which it speaks

Found while looking for the cause of GONE elsewhere: announcements were taken before deregistrations. A server that ends and starts again under the same identity within one tick was closed by the deregistration of its former life: it got no work until it ended. A late agent reads both at once.

Change: a mailbox can give messages of several kinds in their order.

Ruled out as the same fault: plans and leases (a lease counts only with the plan it names), store answers (each has its ticket), grants and releases (each call has a connection of its own and its ticket).

Evidence: test_new_life_after_the_end_of_the_old_one failed before.

--- a/laburnumlatch/core/mailbox.py
+++ b/laburnumlatch/core/mailbox.py
@@ -1,6 +1,11 @@
 """Typed messages that wait between front ends and systems."""
 
 import collections
+import itertools
+import operator
+
+_place = operator.itemgetter(0)
+_message = operator.itemgetter(1)
 
 
 class Mailbox:
@@ -10,6 +15,7 @@
         """Start empty."""
         self._by_kind = collections.defaultdict(list)
         self._size = 0
+        self._places = itertools.count()
 
     def __len__(self):
         """Return the number of messages that wait."""
@@ -17,34 +23,36 @@
 
     def post(self, message):
         """Append one message."""
-        self._by_kind[type(message)].append(message)
+        self._by_kind[type(message)].append((next(self._places), message))
         self._size += 1
 
-    def take(self, kind):
-        """Remove and return all messages of the class `kind`, in order."""
-        if kind not in self._by_kind:
-            return []
-        taken = self._by_kind.pop(kind)
-        self._size -= len(taken)
-        return taken
+    def take(self, *kinds):
+        """Remove and return all messages of these classes, in order."""
+        placed = self._by_kind.pop(kinds[0], [])
+        if len(kinds) > 1:
+            for kind in kinds[1:]:
+                placed = placed + self._by_kind.pop(kind, [])
+            placed.sort(key=_place)
+        self._size -= len(placed)
+        return list(map(_message, placed))
 
     def take_answers(self, kind, prefix):
         """Remove and return the messages whose ticket starts with `prefix`.
 
         Answers of the store are for the system that asked; others stay.
         """
-        answers = self._by_kind.get(kind)
-        if not answers:
+        placed = self._by_kind.get(kind)
+        if not placed:
             return []
-        own = [one for one in answers if one.ticket.startswith(prefix)]
+        own = [one for one in placed if one[1].ticket.startswith(prefix)]
         if own:
-            self._by_kind[kind] = [one for one in answers if one not in own]
+            self._by_kind[kind] = [one for one in placed if one not in own]
             self._size -= len(own)
-        return own
+        return list(map(_message, own))
 
     def peek(self, kind):
         """Return all messages of the class `kind` and leave them here."""
-        return tuple(self._by_kind.get(kind, ()))
+        return tuple(map(_message, self._by_kind.get(kind, ())))
 
     def counts(self):
         """Return (kind, number of messages) of all that waits."""
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -233,23 +233,28 @@
 
 
 def _announcements(world, now):
-    for told in world.inbox.take(backendmsg.BackendAnnounced):
-        is_accepted = _announced(world, told, now)
-        outcome = 'accepted' if is_accepted else 'refused'
-        counting.count(world, 'announcements', outcome=outcome)
+    """Take what the backend server says, in the order in which it spoke."""
+    spoken = world.inbox.take(
+        backendmsg.BackendAnnounced, backendmsg.BackendLeft
+    )
+    for told in spoken:
+        if isinstance(told, backendmsg.BackendLeft):
+            is_accepted = _left(world, told, now)
+        else:
+            is_accepted = _announced(world, told, now)
+            outcome = 'accepted' if is_accepted else 'refused'
+            counting.count(world, 'announcements', outcome=outcome)
         world.outbox.post(
             backendmsg.AnnouncementAnswered(told.ask, is_accepted),
         )
-    for left in world.inbox.take(backendmsg.BackendLeft):
-        backend = world.backend
-        is_accepted = (
-            backend is not None and backend.life.server_id == left.server_id
-        )
-        if is_accepted:
-            _begin_closing(world, now)
-        world.outbox.post(
-            backendmsg.AnnouncementAnswered(left.ask, is_accepted=True),
-        )
+
+
+def _left(world, left, now):
+    """Close the backend server that leaves; another one is not known here."""
+    backend = world.backend
+    if backend is not None and backend.life.server_id == left.server_id:
+        _begin_closing(world, now)
+    return True
 
 
 def _announced(world, told, now):
--- /dev/null
+++ b/tests/test_mesh_announcements.py
@@ -0,0 +1,42 @@
+"""What a backend server tells its agent, in the order in which it speaks."""
+
+import attrs
+
+from laburnumlatch.experiments import fleet
+from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import ranges
+
+
+def taken(spoken):
+    """Return the backend server that an agent knows after one tick."""
+    net = fleet.deployment()
+    net.backends['m0'].is_up = False
+    for message in spoken(net.backends['m0'].announce()):
+        net.post('m0', message)
+    net.run(1)
+    return net.worlds['m0'].backend
+
+
+def next_life(told):
+    """Return the announcement of a later life under the same identity."""
+    life = ranges.Life(told.life.server_id, told.life.born + 5000)
+    return attrs.evolve(told, life=life, sequence=1)
+
+
+def left(told):
+    """Return the deregistration of a backend server."""
+    return backendmsg.BackendLeft(99, told.life.server_id)
+
+
+class TestOneTick:
+    """Announcements and deregistrations that are read in the same tick."""
+
+    def test_new_life_after_the_end_of_the_old_one(self):
+        """Guards against a new server that is taken for a leaving one."""
+        backend = taken(lambda told: [left(told), next_life(told)])
+        assert backend.closing_at is None
+
+    def test_end_after_an_announcement(self):
+        """Guards against work for a server that has left."""
+        backend = taken(lambda told: [next_life(told), left(told)])
+        assert backend.closing_at is not None
