Count a majority by when hosts spoke, not by when they were read

Found while looking for the cause of GONE elsewhere: a planner that was paused, and comes back cut off from all others, reads the renewals that had waited for it, takes them for a majority of now and gives itself a lease. Its keys have meanwhile been given to others: two backend servers hold them (OWNER) for up to 4 s. Other hosts are safe, as leases count from when they were asked for.

Change: a lease bears the planner's time, the next renewal returns it, and the majority is counted by these times of the planner's own clock.

--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -58,6 +58,8 @@
         self.worlds = {}
         self.backends = {}
         self.cut = set()
+        # Agents that do not run; what reaches them waits.
+        self.paused = set()
         self.violations = []
         self.early_takes = []
         self.stopped = {}
@@ -197,6 +199,8 @@
         self.later(fleetconfig.BEAT_MS, self._beat, host_id)
 
     def _tick(self, host_id):
+        if host_id in self.paused:
+            return
         world = self.worlds[host_id]
         is_due = world.next_wake is not None and world.next_wake <= self.now
         if world.next_wake is None or is_due or len(world.inbox):
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -16,7 +16,8 @@
     of the key space with arrivals. `busy_ms` is the time of the `done` requests
     at the backend server, `slots` how many may run.
     `grants_end_ms` is how long grants at the backend server may still last.
-    `taken` are fences of pieces that the host holds now.
+    `taken` are fences of pieces that the host holds now. `lease_made` is that
+    of the last lease from the holder of this term, 0 if there was none.
     """
 
     host_id: str
@@ -35,6 +36,7 @@
     grants_end_ms: int = 0
     cells: tuple[tuple[int, int], ...] = ()
     taken: tuple[int, ...] = ()
+    lease_made: int = 0
 
 
 @attrs.define(frozen=True)
@@ -44,7 +46,8 @@
     0 means that the planner may not issue leases now. `has_store` tells
     whether the planner can write to the store. `plan_versions` are those of
     all divided services, by name; `configuration_version` is that in force
-    at the planner.
+    at the planner. `made` is when it was made, by the planner's clock; the
+    host's next renewal shows by it that the host has spoken since.
     """
 
     holder: str
@@ -55,6 +58,7 @@
     has_store: bool
     plan_versions: tuple[tuple[str, int], ...] = ()
     configuration_version: int = 0
+    made: int = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -35,7 +35,7 @@
     `row_version` is that of the row last read or written, `row_seen` when it
     was first seen with that version. As the holder: `taken` is when this
     agent took the role, `renewed` the time before its last renewal that took
-    effect, `majority_at` when a majority of the hosts had last spoken to it,
+    effect, `majority_at` a time that a majority of the hosts has spoken after,
     `majority_since` when one first had, `has_plans` that the plans were read
     since.
     """
@@ -66,6 +66,7 @@
     recent renewals were sent, by sequence, `newest` the last sequence that was
     answered. The lease counts only for a host
     that knows the plan of its service in the version of `plan_versions`.
+    `made` is that of the newest lease under the present term.
     """
 
     expires: int = 0
@@ -76,6 +77,7 @@
     planner_has_store: bool = True
     plan_versions: tuple[tuple[str, int], ...] = ()
     configuration_version: int = 0
+    made: int = 0
 
     def covers(self, plan):
         """Tell whether the lease counts for a host that knows `plan`."""
@@ -92,6 +94,7 @@
 
     `expires` is when the last lease that this planner gave has ended for
     certain, `heard` when the host last spoke under the present term,
+    `spoke_after` a time, by this clock, that it has spoken after for certain,
     `first_heard` when it first did, `ready_since` when it first told of a
     backend server, `told_at` when it was last sent a plan or a change.
     """
@@ -101,6 +104,7 @@
     service: str
     expires: int = 0
     heard: int = 0
+    spoke_after: int = 0
     first_heard: int | None = None
     ready_since: int | None = None
     told_at: int | None = None
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -75,6 +75,7 @@
             for holding in world.holdings
             if holding.state == leaserows.HoldingState.HELD
         ),
+        lease_made=world.lease.made,
     )
 
 
@@ -96,6 +97,7 @@
     if lease.sequence > world.lease.newest:
         # Answers may overtake each other; the newest knows the newest plans.
         world.lease.newest = lease.sequence
+        world.lease.made = lease.made
         world.lease.plan_versions = lease.plan_versions
         world.lease.configuration_version = lease.configuration_version
 
@@ -124,6 +126,7 @@
         has_store=own_role.has_store and world.stopping_since is None,
         plan_versions=_plan_versions(world),
         configuration_version=world.configuration_version,
+        made=now,
     )
     if renew.host_id == world.host_id:
         _take(world, answer, now)
@@ -177,6 +180,10 @@
         )
     if renew.term == world.role.term:
         lessee.heard = now
+        # The renewal itself may have waited here for any time.
+        is_own = renew.host_id == world.host_id
+        spoke_after = now if is_own else renew.lease_made
+        lessee.spoke_after = max(lessee.spoke_after, spoke_after)
         if lessee.first_heard is None:
             lessee.first_heard = now
     lessee.address = renew.address
@@ -199,15 +206,14 @@
 def _count_majority(world, now):
     known = {host.host_id for host in members.live_hosts(world)}
     known.add(world.host_id)
-    heard = [
-        lessee.heard
+    spoke_after = [
+        lessee.spoke_after
         for lessee in world.lessees
         if lessee.host_id in known and lessee.heard
     ]
     needed = len(known) // 2 + 1
-    if len(heard) < needed:
+    if len(spoke_after) < needed:
         return
-    # The time at which a majority had been heard since.
-    world.role.majority_at = sorted(heard, reverse=True)[needed - 1]
+    world.role.majority_at = sorted(spoke_after, reverse=True)[needed - 1]
     if world.role.majority_since is None:
         world.role.majority_since = now
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -91,6 +91,7 @@
     role.address = address
     role.term = term
     world.lease.answered = now
+    world.lease.made = 0
     world.lease.planner_has_store = True
     return True
 
--- /dev/null
+++ b/tests/test_mesh_pauses.py
@@ -0,0 +1,33 @@
+"""Agents that are paused and come back cut off from all others."""
+
+import pytest
+
+from laburnumlatch.experiments import fleet
+
+# What the others said by then waits for the paused agent.
+CUT_MS = (800, 1200, 1500, 1800)
+REST_MS = 8000
+
+
+class TestPausedPlanner:
+    """The planner, which owns keys as well."""
+
+    @pytest.mark.parametrize('pause_ms', range(3500, 11_500, 2000))
+    @pytest.mark.parametrize('cut_ms', CUT_MS)
+    def test_old_renewals_are_no_sign_of_a_majority(self, cut_ms, pause_ms):
+        """Guards against two owners: renewals of before count as new."""
+        net = fleet.deployment(divided=4, others=1)
+        (planner,) = net.planner()
+        net.paused.add(planner)
+        net.run(cut_ms)
+        net.cut.add(planner)
+        net.store.refuses = {planner}
+        net.run(max(1, pause_ms - cut_ms))
+        net.paused.discard(planner)
+        net.run(REST_MS)
+        assert not net.violations
+        net.cut.clear()
+        net.store.refuses = set()
+        net.run(REST_MS)
+        assert not net.violations
+        assert len(net.planner()) == 1
