Let an early refusal reach a caller that still sends

Callers saw a reset in place of 413 or 503 (13 of 20 times with a body just over the limit).

Cause: an agent that refuses a body before it is in closes the connection while bytes still arrive; unread bytes make the kernel reset it, and the reset drops the refusal at the caller.

Change: after the refusal what still comes is read and dropped, for 2 s at most; then, or at the end of the body, the connection may end.

A test holds the bound of 2 s.

--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -23,6 +23,11 @@
 # All bodies that are held at one time, as a part of the process's memory.
 BODIES_RATE = 0.25
 KEY_COUNT = 65_536
+# After an early refusal what still comes of a body is read and dropped for
+# this time: a connection that is closed with unread bytes is reset, and the
+# refusal lost.
+LINGER_S = 2
+ANY_BODY_BYTES = 2_000_000_000_000
 
 _log = logs.logger('callers')
 
@@ -151,6 +156,7 @@
         self._held = 0
         self._number = None
         self._is_refused = False
+        self._linger = None
 
     def headers_received(self, start_line, headers):
         """Keep the head; refuse a body that is too long at once."""
@@ -174,6 +180,8 @@
     def finish(self):
         """Hand the whole request to the systems."""
         if self._is_refused:
+            self._linger.cancel()
+            self._connection.finish()
             return
         fields = self._fields
         # tornado itself reports only a close before the end of the request.
@@ -201,6 +209,8 @@
     def on_connection_close(self):
         """Tell the systems that the caller has gone."""
         self._give_back()
+        if self._linger is not None:
+            self._linger.cancel()
         if self._number is not None:
             self._front.left(self._number)
 
@@ -223,8 +233,13 @@
         self._write(status, reason, fields, body)
 
     def _refuse(self, verdict, reason):
+        """Refuse a request before its body is in."""
         self._is_refused = True
         self._chunks.clear()
+        self._connection.set_max_body_size(ANY_BODY_BYTES)
+        self._linger = asyncio.get_running_loop().call_later(
+            LINGER_S, self._connection.close
+        )
         self.refuse(messages.Refuse(0, verdict, reason))
 
     def _write(self, status, reason, fields, body):
@@ -241,7 +256,8 @@
         try:
             written = self._connection.write_headers(start, fields, body)
             written.add_done_callback(_note_error)
-            self._connection.finish()
+            if not self._is_refused:
+                self._connection.finish()
         except _WRITE_ERRORS as error:
             _log.info('answer-not-written', detail=repr(error))
 
--- a/tests/test_caller_close.py
+++ b/tests/test_caller_close.py
@@ -81,3 +81,25 @@
             seen = runner.run(held_up(times, request_bytes))
         both = [messages.RequestArrived, messages.CallerLeft]
         assert [kinds for kinds in seen if kinds] == [both]
+
+
+class TestEarlyRefusal:
+    """A body that is refused before it is in."""
+
+    async def test_sender_without_end_is_closed(self):
+        """Guards against a connection that a slow sender keeps for ever."""
+        address = addresses.free()
+        front = front_of(address, looptimes.LoopTimes(), Ticks())
+        await front.start()
+        reader, writer = await asyncio.open_connection(
+            *core_addresses.split_address(address)
+        )
+        writer.write(
+            b'PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999999\r\n\r\n'
+        )
+        limit_s = callerfront.LINGER_S + 1
+        told = await asyncio.wait_for(reader.read(), limit_s)
+        assert told.startswith(b'HTTP/1.1 413')
+        assert told.count(b'HTTP/1.1') == 1
+        writer.close()
+        await front.stop()
