Ask a store that is away less and less often

Change: calls that fail in a row wait 0.3 s, then twice as long, up to 1.6 s, each host a little less by chance; an answer starts anew. A write that the store turned down is repeated without reading all rows first: nothing has been written.

What hosts missed is known within 2 s of the store's return, as before.

--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -12,7 +12,7 @@
     """Rows with versions; calls of cut hosts have no answer.
 
     The next `rejects` writes of a key are turned down by saying so. `calls`
-    counts those about rows.
+    counts those about rows, `configuration_reads` those of the configuration.
     """
 
     def __init__(self):
@@ -24,6 +24,7 @@
         self.rejects = {}
         self.writes = 0
         self.calls = 0
+        self.configuration_reads = 0
 
     def answer(self, host_id, message):
         """Return the answer to a call, or None while a watch waits."""
@@ -106,6 +107,7 @@
     def _read_configuration(self, host_id, asked):
         newest = self._fleet.configuration
         store = self._fleet.store
+        store.configuration_reads += 1
         answer = messages.ConfigurationRead(
             asked.ticket, (newest,), newest.version
         )
@@ -114,7 +116,8 @@
         self._fleet.post(host_id, answer)
 
     def _watch_configuration(self, host_id, watch):
-        if self._fleet.configuration.version > watch.after:
+        is_newer = self._fleet.configuration.version > watch.after
+        if is_newer or self._fleet.store.is_down:
             self._read_configuration(host_id, watch)
         else:
             self._later(WATCH_MS, self._watch_configuration, host_id, watch)
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -10,7 +10,6 @@
 READ_TICKET = 'configuration/read'
 WATCH_TICKET = 'configuration/watch'
 WATCH_MS = 28_000
-RETRY_MS = 300
 CALL_MS = 2000
 # The planner knows a newer version: the watch may have gone silent.
 BEHIND_MS = 500
@@ -27,7 +26,8 @@
             'store-call-failed', call=failed.ticket, detail=failed.detail
         )
         world.is_watching_configuration = False
-        world.timers.put(READ_TICKET, now + RETRY_MS)
+        retry_ms = world.configuration_retry.failed(world.rng)
+        world.timers.put(READ_TICKET, now + retry_ms)
     for read in world.inbox.take(messages.ConfigurationRead):
         _take(world, read)
     is_behind = world.lease.configuration_version > world.configuration_version
@@ -51,6 +51,7 @@
 
 def _take(world, read):
     world.configuration_heard = world.now
+    world.configuration_retry.succeeded()
     known = world.configuration
     for configuration in read.configurations:
         if known is None or configuration.version > known.version:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -21,8 +21,6 @@
 ROW_TICKET = 'members/row'
 PLANS_TICKET = 'members/plans'
 WATCH_MS = 28_000
-# A refused or lost call to the store is repeated after this time.
-RETRY_MS = 400
 # After changes the next watch begins this much later: hosts that start or end
 # together write their rows together, and each watch that ends is a call.
 WATCH_PAUSE_MS = 500
@@ -57,6 +55,7 @@
         _changed(world, read, now)
     for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         world.own_row_version = written.version
+        world.row_retry.succeeded()
         world.timers.pop(ROW_TICKET)
     if world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _rescan(world)
@@ -162,11 +161,16 @@
         # The history may be gone or changes lost, so all is read again.
         world.is_watching = False
         world.watch_after = None
-        world.timers.put(SCAN_TICKET, now + RETRY_MS)
-        world.wake_at(now + RETRY_MS)
+    if failed.ticket in {WATCH_TICKET, SCAN_TICKET}:
+        retry_at = now + world.members_retry.failed(world.rng)
+        world.timers.put(SCAN_TICKET, retry_at)
+        world.wake_at(retry_at)
     elif failed.ticket == ROW_TICKET:
-        world.timers.put(ROW_TICKET, now + RETRY_MS)
-        world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
+        retry_at = now + world.row_retry.failed(world.rng)
+        world.timers.put(ROW_TICKET, retry_at)
+        if not failed.is_rejected:
+            # The row may have been written, and then has another version.
+            world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
 def _watch_again(world, now):
@@ -183,6 +187,7 @@
 
 
 def _changed(world, read, now):
+    world.members_retry.succeeded()
     if read.ticket == PLANS_TICKET:
         world.has_plans = True
         take_rows(world, read.rows)
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -111,13 +111,17 @@
         )
         world.role.pending = ''
         world.role.has_store = False
-        if failed.is_rejected and world.role.is_held:
+        if failed.ticket == READ_TICKET:
+            retry_ms = world.role_retry.failed(world.rng)
+            world.timers.put(READ_TICKET, now + retry_ms)
+        elif failed.is_rejected and world.role.is_held:
             world.timers.put(RENEW_TICKET, now + REJECTED_MS)
 
 
 def _read(world, read, now):
     role = world.role
     role.has_store = True
+    world.role_retry.succeeded()
     for row in read.rows:
         if row.key != ROW:
             continue
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings as settings_module
+from laburnumlatch.mesh import storeretry
 from laburnumlatch.mesh import waiting
 
 
@@ -47,6 +48,10 @@
     role: leaserows.Role = attrs.Factory(leaserows.Role)
     lease: leaserows.OwnLease = attrs.Factory(leaserows.OwnLease)
     report: leaserows.LoadReport = attrs.Factory(leaserows.LoadReport)
+    configuration_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
+    members_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
+    role_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
+    row_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
     has_members: bool = False
     has_plans: bool = False
     is_watching: bool = False
--- /dev/null
+++ b/tests/test_store_retries.py
@@ -0,0 +1,58 @@
+"""Calls of all hosts to a store that is away."""
+
+import attrs
+
+from laburnumlatch.experiments import fleet
+from laburnumlatch.mesh import storeretry
+
+OUTAGE_MS = 10_000
+# A host asks for a table at the longest pause, and a few times sooner.
+SHORTEST_MS = storeretry.LONGEST_MS * (1 - storeretry.SPREAD_RATE)
+MOST_READS = OUTAGE_MS / SHORTEST_MS + 3
+TABLES = 2
+# What hosts missed must have come by then.
+BACK_MS = 2000
+
+
+def after_outage(net):
+    """Let the store be away for a time, while something changes."""
+    net.store.is_down = True
+    net.run(OUTAGE_MS)
+    net.configuration = attrs.evolve(net.configuration, version=2)
+    net.store.is_down = False
+    net.run(BACK_MS)
+
+
+class TestOutage:
+    """A store that is away for seconds."""
+
+    def test_few_calls_are_made_in_vain(self):
+        """Guards against all hosts asking several times a second."""
+        net = fleet.deployment(divided=6, others=2)
+        net.store.calls = 0
+        net.store.configuration_reads = 0
+        net.store.is_down = True
+        net.run(OUTAGE_MS)
+        hosts = len(net.worlds)
+        assert net.store.calls / hosts <= TABLES * MOST_READS
+        assert net.store.configuration_reads / hosts <= MOST_READS
+
+    def test_changes_are_known_soon_after_its_return(self):
+        """Guards against hosts that wait too long to ask again."""
+        net = fleet.deployment(divided=6, others=2)
+        net.stop('m1')
+        after_outage(net)
+        for world in net.worlds.values():
+            assert world.configuration_version == 2
+            assert world.is_watching
+
+    def test_row_of_a_server_that_leaves_is_written_soon(self):
+        """Guards against a row that is still missing after the outage."""
+        net = fleet.deployment(divided=6, others=2)
+        net.store.is_down = True
+        net.backends['m1'].is_draining = True
+        net.run(OUTAGE_MS)
+        net.store.is_down = False
+        net.run(BACK_MS)
+        for world in net.worlds.values():
+            assert world.hosts.get('m1').record.state == 'draining'
