Take messages of no kind without work

A tick asks for some 37 kinds of messages, of which one or two wait. An empty kind costs a lookup only.

--- a/laburnumlatch/core/mailbox.py
+++ b/laburnumlatch/core/mailbox.py
@@ -26,12 +26,14 @@
         self._by_kind[type(message)].append((next(self._places), message))
         self._size += 1
 
-    def take(self, *kinds):
+    def take(self, kind, *others):
         """Remove and return all messages of these classes, in order."""
-        placed = self._by_kind.pop(kinds[0], [])
-        if len(kinds) > 1:
-            for kind in kinds[1:]:
-                placed = placed + self._by_kind.pop(kind, [])
+        placed = self._by_kind.pop(kind, None) or []
+        for other in others:
+            placed.extend(self._by_kind.pop(other, ()))
+        if not placed:
+            return placed
+        if others:
             placed.sort(key=_place)
         self._size -= len(placed)
         return list(map(_message, placed))
