Split what intake, planner and runner do into parts

No change of logic: plans on their way have a module of their own (planwrites), intake tells routes from requests without one, and the runner builds its front ends in a step of its own.

--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -37,6 +37,7 @@
     """The hosts and what is under way between them.
 
     A KB of a body takes `link_ms_per_kb` on the link of the host it goes to.
+    What reaches the agents of `paused` hosts waits for them.
     """
 
     def __init__(
@@ -58,7 +59,6 @@
         self.worlds = {}
         self.backends = {}
         self.cut = set()
-        # Agents that do not run; what reaches them waits.
         self.paused = set()
         self.violations = []
         self.early_takes = []
@@ -80,13 +80,7 @@
         self.numbers = itertools.count(1)
         for host_id, service, domain in hosts:
             self.domains[host_id] = domain
-            self.backends[host_id] = fleetbackend.Backend(
-                self, host_id, service
-            )
-            self.start(host_id)
-            self.later(
-                self.rng.randrange(fleetconfig.BEAT_MS), self._beat, host_id
-            )
+            self._add(host_id, service)
 
     def start(self, host_id):
         """Start the agent of a host anew."""
@@ -192,6 +186,11 @@
         """Tell whether two hosts cannot reach each other."""
         return first in self.cut or second in self.cut
 
+    def _add(self, host_id, service):
+        self.backends[host_id] = fleetbackend.Backend(self, host_id, service)
+        self.start(host_id)
+        self.later(self.rng.randrange(fleetconfig.BEAT_MS), self._beat, host_id)
+
     def _beat(self, host_id):
         backend = self.backends[host_id]
         if backend.is_up:
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -33,14 +33,19 @@
 
 def _take_arrived(world, arrived, now):
     counting.count(world, 'requests_received')
-    configuration = world.configuration
-    if configuration is None:
-        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
-        return
     parent = _parent(world, arrived.head.request_id)
-    if leaving.refuses_callers(world, now) and parent is None:
+    is_left = leaving.refuses_callers(world, now) and parent is None
+    if world.configuration is None:
+        _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
+    elif is_left:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
-        return
+    else:
+        _take_routed(world, arrived, parent, now)
+
+
+def _take_routed(world, arrived, parent, now):
+    """Take in a request, if the configuration has a route for it."""
+    configuration = world.configuration
     path = arrived.head.target.partition('?')[0]
     route = configuration.match(arrived.head.host, path)
     if route is None:
@@ -55,23 +60,27 @@
         request.parent_route = parent.route
         request.parent_due = parent.arrived + parent.target_ms
     retrybudget.count_request(world, request.service, now)
+    _note_received(world, request, now)
+    _keep(world, request, now)
+    if parent is None and not leaving.ends_in_time(world, request):
+        # Its answer could no longer be passed on from here.
+        requests.refuse(
+            world, request, messages.Reason.STOPPING, NOT_READY_RETRY_MS
+        )
+
+
+def _note_received(world, request, now):
     decisions.note(
         world,
         request,
         'received',
         service=request.service,
-        route=route.name,
-        configuration=configuration.version,
-        kind=route.kind,
-        priority=route.priority,
+        route=request.route,
+        configuration=world.configuration_version,
+        kind=request.kind,
+        priority=request.priority,
         left_ms=request.deadline - now,
     )
-    _keep(world, request, now)
-    if parent is None and not leaving.ends_in_time(world, request):
-        # Its answer could no longer be passed on from here.
-        requests.refuse(
-            world, request, messages.Reason.STOPPING, NOT_READY_RETRY_MS
-        )
 
 
 def _refuse(world, arrived, verdict, reason):
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -5,7 +5,7 @@
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
-from laburnumlatch.mesh import planner
+from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh import worktimes
 
@@ -143,7 +143,7 @@
     for row in world.plans:
         if known.get(row.plan.service, 0) < row.plan.version:
             lessee.told_at = now
-            planner.tell(
+            planwrites.tell(
                 world, renew.host_id, renew.address, row.plan, row.row_version
             )
 
@@ -158,7 +158,7 @@
     if not own_role.has_plans or not role.may_lease(own_role, now):
         return 0
     for write in world.plan_writes:
-        if planner.loses_keys(world, write, renew.host_id):
+        if planwrites.loses_keys(world, write, renew.host_id):
             # The write may take effect, and the host does not know it.
             return 0
     return leaserows.LEASE_MS
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -12,8 +12,7 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
-from laburnumlatch.mesh import planchanges
-from laburnumlatch.mesh import planmsg
+from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
 
@@ -50,37 +49,13 @@
         _plan_all(world, now)
 
 
-def loses_keys(world, write, host_id):
-    """Tell whether a host would lose keys by a write without its release.
-
-    `write` is a `leaserows.PlanWrite`. All renewals ask this while it is under
-    way, so plans are compared once.
-    """
-    known = world.plan_of(write.plan.service)
-    if known is None:
-        return False
-    if write.compared_version != known.version:
-        write.compared_version = known.version
-        write.losers = losers(known, write.plan)
-    return host_id in write.losers
-
-
-def losers(known, plan):
-    """Return the hosts that lose keys of `known` by `plan` unreleased."""
-    return frozenset(
-        piece.host_id
-        for piece, new in ranges.overlapping(known.pieces, plan.pieces)
-        if piece.host_id not in {new.host_id, new.former}
-    )
-
-
 def _answers(world, now):
     for written in world.inbox.take_answers(storemsg.StoreWritten, TICKET):
         write = world.plan_writes.pop(written.ticket)
         if write is not None:
             known = world.plan_of(write.plan.service)
             members.take_plan(world, write.plan, written.version)
-            _tell_all(world, known, write.plan, written.version, now)
+            planwrites.tell_all(world, known, write.plan, written.version, now)
     for refused in world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _log.info('plan-refused', ticket=refused.ticket)
         world.plan_writes.pop(refused.ticket)
@@ -105,33 +80,6 @@
         write.failed = now
 
 
-def _tell_all(world, known, plan, row_version, now):
-    """Tell all agents of a plan that has taken the place of `known`.
-
-    A watch of each would cost a call; whole plans fill the links of hosts.
-    """
-    for lessee in world.lessees:
-        lessee.told_at = now
-    change = None if known is None else planchanges.difference(known, plan)
-    for host in members.live_hosts(world):
-        if host.host_id == world.host_id:
-            continue
-        address = host.record.address
-        if change is None:
-            tell(world, host.host_id, address, plan, row_version)
-        else:
-            world.outbox.post(
-                planmsg.SendPlanChange(
-                    host.host_id, address, change, row_version
-                )
-            )
-
-
-def tell(world, host_id, address, plan, row_version):
-    """Send a whole plan to the agent of one host."""
-    world.outbox.post(planmsg.SendPlan(host_id, address, plan, row_version))
-
-
 def _take_read(world, read):
     """Settle what is known of the plans, and writes that had no answer."""
     asked = int(read.ticket.removeprefix(READ_TICKET))
--- /dev/null
+++ b/laburnumlatch/mesh/planwrites.py
@@ -0,0 +1,57 @@
+"""Plans on their way to the store, and to agents once they are written."""
+
+from laburnumlatch.mesh import members
+from laburnumlatch.mesh import planchanges
+from laburnumlatch.mesh import planmsg
+from laburnumlatch.mesh import ranges
+
+
+def loses_keys(world, write, host_id):
+    """Tell whether a host would lose keys by a write without its release.
+
+    `write` is a `leaserows.PlanWrite`. All renewals ask this while it is under
+    way, so plans are compared once.
+    """
+    known = world.plan_of(write.plan.service)
+    if known is None:
+        return False
+    if write.compared_version != known.version:
+        write.compared_version = known.version
+        write.losers = losers(known, write.plan)
+    return host_id in write.losers
+
+
+def losers(known, plan):
+    """Return the hosts that lose keys of `known` by `plan` unreleased."""
+    return frozenset(
+        piece.host_id
+        for piece, new in ranges.overlapping(known.pieces, plan.pieces)
+        if piece.host_id not in {new.host_id, new.former}
+    )
+
+
+def tell_all(world, known, plan, row_version, now):
+    """Tell all agents of a plan that has taken the place of `known`.
+
+    A watch of each would cost a call; whole plans fill the links of hosts.
+    """
+    for lessee in world.lessees:
+        lessee.told_at = now
+    change = None if known is None else planchanges.difference(known, plan)
+    for host in members.live_hosts(world):
+        if host.host_id == world.host_id:
+            continue
+        address = host.record.address
+        if change is None:
+            tell(world, host.host_id, address, plan, row_version)
+        else:
+            world.outbox.post(
+                planmsg.SendPlanChange(
+                    host.host_id, address, change, row_version
+                )
+            )
+
+
+def tell(world, host_id, address, plan, row_version):
+    """Send a whole plan to the agent of one host."""
+    world.outbox.post(planmsg.SendPlan(host_id, address, plan, row_version))
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -47,29 +47,7 @@
         self._engine = engine.Engine(
             self._world, ticks.tick, time_source, times
         )
-        numbers = itertools.count(1)
-        post = self._engine.post
-        store = tablestore.TableStore(settings.store_address)
-        self._callers = callerfront.CallerFront(
-            post, settings, numbers, time_source
-        )
-        self._front_ends = [
-            self._callers,
-            controlfront.ControlFront(
-                post, self._world, lambda: log_handler.left_out
-            ),
-            datagrams.Datagrams(post, settings.peer_address, leasemsg),
-            peerlink.PeerLink(
-                post,
-                settings.peer_address,
-                settings.host_id,
-                numbers,
-                time_source,
-            ),
-            backendclient.BackendClient(post, settings.memory_bytes),
-            configlink.ConfigLink(post, store),
-            storelink.StoreLink(post, store),
-        ]
+        self._front_ends = self._build_front_ends(time_source, log_handler)
         self._engine.register_front_ends(self._front_ends)
         self._stopped = asyncio.Event()
         self._path = path
@@ -93,6 +71,31 @@
         for front_end in self._front_ends:
             await front_end.stop()
 
+    def _build_front_ends(self, time_source, log_handler):
+        """Return the front ends, each of which posts to the engine."""
+        own = self._world.settings
+        numbers = itertools.count(1)
+        post = self._engine.post
+        store = tablestore.TableStore(own.store_address)
+        self._callers = callerfront.CallerFront(post, own, numbers, time_source)
+        return [
+            self._callers,
+            controlfront.ControlFront(
+                post, self._world, lambda: log_handler.left_out
+            ),
+            datagrams.Datagrams(post, own.peer_address, leasemsg),
+            peerlink.PeerLink(
+                post,
+                own.peer_address,
+                own.host_id,
+                numbers,
+                time_source,
+            ),
+            backendclient.BackendClient(post, own.memory_bytes),
+            configlink.ConfigLink(post, store),
+            storelink.StoreLink(post, store),
+        ]
+
     def _stop(self):
         self._callers.is_stopping = True
         self._engine.post(messages.Stopping())
