--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -31,7 +31,7 @@
     """A row that names an address at which nobody can be reached."""
 
     @pytest.mark.parametrize(
-        ('port', 'address'), enumerate(ODD_ADDRESSES, start=0)
+        ('port', 'address'), list(enumerate(ODD_ADDRESSES))
     )
     async def test_waiting_requests_are_told(self, port, address):
         """Guards against requests that wait for a dial that has ended."""
