--- a/laburnumlatch/experiments/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -4,6 +4,7 @@
 import time
 import tracemalloc
 
+import attrs
 import logbook
 
 from laburnumlatch.core import wire
@@ -16,6 +17,7 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
+from laburnumlatch.mesh import planchanges
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
@@ -43,7 +45,7 @@
     """Return measured figures, a dict by name and size; takes a minute."""
     with logbook.NullHandler().applicationbound():
         found = {}
-        for name, sizes, measure in _CASES:
+        for name, sizes, measure in CASES:
             for size in sizes:
                 started = time.monotonic()
                 found[f'{name} {size}'] = round(measure(size), 1)
@@ -113,12 +115,14 @@
     sender, receiver = _Wire(), _Wire()
     for number in range(count):
         head = _head(fleetconfig.SERVICE, '/look/', KEY)
-        ask = peermsg.Ask(_forward(number, head))
+        ask = peermsg.Ask(_forward(number, head), number)
         answer = messages.Answer(
             fleetbackend.STATUS_OK, (), bytes(ANSWER_BYTES)
         )
         sender.send(ask)
-        receiver.send(peermsg.Answered(number, 1, answer, WAIT_MS, WORK_MS))
+        receiver.send(
+            peermsg.Answered(number, 1, answer, WAIT_MS, WORK_MS, WORK_MS)
+        )
     return (sender.written + receiver.written) / count
 
 
@@ -133,6 +137,10 @@
     def received(self, message):
         """Take nothing in."""
 
+    def is_closing(self):
+        """Tell that frames can be sent."""
+        return False
+
     def write(self, packed):
         """Count bytes in place of a connection."""
         self.written += len(packed)
@@ -255,6 +263,33 @@
     )
 
 
+def _change(size):
+    """Return a plan of `size` pieces, and the change that moves one."""
+    plan = _plan(size)
+    moved = attrs.evolve(plan.pieces[-1], host_id='host-0', fence=size + 1)
+    following = ranges.Plan(
+        plan.service, plan.version + 1, (*plan.pieces[:-1], moved)
+    )
+    return plan, planchanges.difference(plan, following)
+
+
+def _change_us(size):
+    """Return us to take in a change of one among `size` pieces."""
+    plan, change = _change(size)
+    body = wire.pack_compressed(change)
+    return _time_us(
+        lambda: planchanges.changed(
+            plan, wire.unpack(body, planchanges.Change)
+        ),
+        3,
+    )
+
+
+def _change_bytes(size):
+    """Return bytes of a change of one among `size` pieces."""
+    return len(wire.pack_compressed(_change(size)[1]))
+
+
 def _plan(size):
     owners = [
         (f'host-{number}', ranges.Life(f's-{number}', 1))
@@ -297,7 +332,7 @@
     )
 
 
-_CASES = (
+CASES = (
     ('idle tick us, hosts', SIZES, _idle_tick_us),
     ('request us at its own server, hosts', SIZES, _request_us),
     ('request us at the ingress, hosts', SIZES, _forward_us),
@@ -308,6 +343,8 @@
     ('encode plan us, pieces', SIZES, _encode_us),
     ('decode plan us, pieces', SIZES, _decode_us),
     ('plan bytes a piece, pieces', SIZES, _plan_bytes),
+    ('take in a change of one piece us, pieces', SIZES, _change_us),
+    ('bytes of a change of one piece, pieces', SIZES, _change_bytes),
     ('host bytes', SIZES, _host_bytes),
     ('request bytes', (100, 300), _request_bytes),
 )
