Hold requests back from a silent agent also when none is open there

Found on reading the diff: the silence of another agent was measured only while answers were due. Once all requests sent to it had been given up, the next one was sent to it at once, and those that waited here were forgotten until their deadlines.

Change: a connection knows since when a sign is owed; only a byte of the other agent ends that.

Evidence: test_canceled_requests_do_not_hide_its_silence failed before (sent in place of unsent).

--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -42,8 +42,9 @@
         self._waiting = []
         self._untold = {}
         self._open = {}
-        self._heard = 0
-        self._pinged = 0
+        # Since when the other agent owes a sign of life, None if it does not.
+        self._owed_since = None
+        self._is_pinged = False
         self._greeted = asyncio.Event()
         self._dialing = None
 
@@ -94,9 +95,9 @@
 
     def check(self):
         """Ping a silent connection, and give up one that stays silent."""
-        if not self._greeted.is_set() or not self._open:
+        if self._owed_since is None:
             return
-        silent_ms = self._link.now() - self._heard
+        silent_ms = self._link.now() - self._owed_since
         if silent_ms >= SILENT_MS:
             _log.warning(
                 'peer-silent',
@@ -105,8 +106,8 @@
                 unsent=len(self._waiting),
             )
             self.transport.abort()
-        elif silent_ms >= PING_MS and self._pinged < self._heard + PING_MS:
-            self._pinged = self._link.now()
+        elif silent_ms >= PING_MS and not self._is_pinged:
+            self._is_pinged = True
             self.send(peermsg.Ping())
 
     def connection_made(self, transport):
@@ -117,13 +118,15 @@
     def connection_lost(self, error):
         """Report the requests whose answers will not come."""
         self._greeted.set()
+        self._owed_since = None
         self._report_lost(str(error))
 
     def data_received(self, chunk):
         """Note that the other agent reads, and send what has waited."""
-        self._heard = self._link.now()
         self._greeted.set()
+        self._is_pinged = False
         super().data_received(chunk)
+        self._owed_since = self._link.now() if self._open else None
         self._send_waiting()
 
     def received(self, message):
@@ -157,11 +160,13 @@
     def _may_send(self):
         if not self._greeted.is_set() or self.transport.is_closing():
             return False
-        return not self._open or self._link.now() < self._heard + QUIET_MS
+        if self._owed_since is None:
+            return True
+        return self._link.now() < self._owed_since + QUIET_MS
 
     def _send_ask(self, asked):
-        if not self._open:
-            self._heard = self._link.now()
+        if self._owed_since is None:
+            self._owed_since = self._link.now()
         self._open[_key_of(asked)] = asked
         self.send(asked)
 
--- a/tests/test_mesh_late_input.py
+++ b/tests/test_mesh_late_input.py
@@ -219,3 +219,27 @@
         }
         await agents.stop()
         server.close()
+
+    async def test_canceled_requests_do_not_hide_its_silence(self):
+        """Guards against requests sent after all others have been given up."""
+        agents = test_mesh_peerlink.Agents()
+        await agents.start(17560)
+        target = proxy.Proxy(agents.ports['b'])
+        way = addresses.free()
+        server = await proxy.listen(target, way)
+        agents.ports['b'] = way
+        agents.send(forward(routes.Kind.ONCE, 1))
+        await agents.wait_for('b', messages.ForwardArrived)
+        proxy.hold(target, proxy.UP)
+        for number in (1, 2):
+            agents.send(forward(routes.Kind.ONCE, 2))
+            agents.links['a'].carry_out(messages.CancelForward('b', number, 1))
+        await asyncio.sleep(
+            (outbound.SILENT_MS + outbound.QUIET_MS) / 2 / clock.MS_PER_S
+        )
+        agents.send(forward(routes.Kind.ONCE, 3))
+        failed = await agents.wait_for('a', messages.ExchangeFailed)
+        assert failed.number == 3
+        assert failed.phase == messages.Phase.UNSENT
+        await agents.stop()
+        server.close()
