--- a/laburnumlatch/experiments/fleet.py
+++ b/laburnumlatch/experiments/fleet.py
@@ -48,10 +48,7 @@
         policies=None,
         machines=None,
     ):
-        """`hosts` are (host_id, service, domain).
-
-        `machines` are fields of settings by host, for those that differ.
-        """
+        """`hosts` are (host_id, service, domain); `machines` settings by host."""
         self.now = START_MS
         self.rng = random.Random(seed)
         self.store = fleetstore.Store()
