--- a/laburnumlatch/core/wire.py
+++ b/laburnumlatch/core/wire.py
@@ -13,7 +13,7 @@
 # The start of a zlib stream; no packed row starts so, as rows are maps.
 COMPRESSED_START = b'x'
 COMPRESSION_LEVEL = 6
-# What a row of the store may unpack to: a plan of 100,000 pieces has 10 MB.
+# What a row of the store may unpack to: a plan of 100,000 pieces has 8 MB.
 MAX_ROW_BYTES = 16_777_216
 
 _STRUCTURE_ERRORS = (
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -55,7 +55,9 @@
 
     def dial(self):
         """Begin to connect."""
-        self._dialing = asyncio.ensure_future(self._connect())
+        self._dialing = self._link.tasks.start(
+            self._connect(), lambda error: self._report_lost(repr(error))
+        )
 
     def close(self):
         """Close without waiting for answers."""
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -6,6 +6,7 @@
 from laburnumlatch.core import clock
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
+from laburnumlatch.core import tasks
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
@@ -37,6 +38,7 @@
     def __init__(self, post, address, host_id, numbers, time_source):
         """Listen at `address`; `numbers` counts the requests of the agent."""
         super().__init__(post)
+        self.tasks = tasks.Tasks()
         self._address = address
         self._clock = time_source
         self._numbers = numbers
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -2,10 +2,12 @@
 
 import tracemalloc
 import zlib
+from unittest import mock
 
 import msgpack
 import pytest
 
+from laburnumlatch.core import addresses
 from laburnumlatch.core import errors
 from laburnumlatch.core import storemsg
 from laburnumlatch.core import wire
@@ -45,6 +47,22 @@
         await agents.stop()
 
 
+class TestDials:
+    """A dial that ends in a way that nobody thought of."""
+
+    async def test_waiting_requests_are_told(self, monkeypatch):
+        """Guards against a task that ends unseen."""
+        agents = test_mesh_peerlink.Agents()
+        await agents.start(17594)
+        odd = mock.Mock(side_effect=RuntimeError('odd'))
+        monkeypatch.setattr(addresses, 'split_address', odd)
+        kind = test_mesh_late_input.KINDS[0]
+        agents.send(test_mesh_late_input.forward(kind))
+        failed = await agents.wait_for('a', messages.ExchangeFailed)
+        assert failed.phase == messages.Phase.UNSENT
+        await agents.stop()
+
+
 def host_row(**changes):
     """Return the packed row of a host, with changes."""
     record = rows.HostRecord(
