--- a/laburnumlatch/core/looptimes.py
+++ b/laburnumlatch/core/looptimes.py
@@ -8,7 +8,6 @@
 import selectors
 import time
 
-from laburnumlatch.core import clock
 from laburnumlatch.core import logs
 
 # Callers count in hundreds of ms; agents give up a silent peer after 800.
@@ -29,8 +28,9 @@
 class LoopTimes:
     """Times of the present pass, by part of the program."""
 
-    def __init__(self):
-        """Start before the first pass."""
+    def __init__(self, time_source):
+        """Start before the first pass; `time_source` is a `clock.Clock`."""
+        self._clock = time_source
         self._began = None
         self._marks = []
         self._handled = {}
@@ -51,12 +51,12 @@
 
     def begin(self):
         """Note that the loop has looked at its sockets."""
-        self._began = time.monotonic_ns()
+        self._began = self._clock.now()
         self._passes += 1
 
     def note(self, part):
         """Count the time since the last note as spent in `part`."""
-        self._marks.append((part, time.monotonic_ns()))
+        self._marks.append((part, self._clock.now()))
 
     def count(self, kind, number):
         """Count messages of a class that the pass has handled."""
@@ -68,7 +68,7 @@
         """Write a line if the pass was late, and forget it."""
         if self._began is not None:
             self.note(INPUT)
-            took_ms = (self._marks[-1][1] - self._began) // clock.NS_PER_MS
+            took_ms = self._marks[-1][1] - self._began
             if took_ms >= HELD_MS:
                 self._held_pass = self._passes
             if took_ms >= LATE_MS:
@@ -77,25 +77,21 @@
         self._handled.clear()
 
     def _tell(self, took_ms):
-        spent_ms = {
-            part: spent_ns // clock.NS_PER_MS
-            for part, spent_ns in self._spent_ns().items()
-        }
         _log.notice(
             'pass-late',
             took_ms=took_ms,
-            spent_ms=_highest(spent_ms),
+            spent_ms=_highest(self._spent_ms()),
             handled=_highest(self._handled),
             processor_s=round(time.process_time(), 2),
         )
 
-    def _spent_ns(self):
-        spent_ns = {}
+    def _spent_ms(self):
+        spent_ms = {}
         last = self._began
         for part, marked in self._marks:
-            spent_ns[part] = spent_ns.get(part, 0) + marked - last
+            spent_ms[part] = spent_ms.get(part, 0) + marked - last
             last = marked
-        return spent_ns
+        return spent_ms
 
 
 class TimedSelector(selectors.DefaultSelector):
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -127,7 +127,7 @@
     """
     settings = bootfile.load(path)
     handler = logs.set_up(settings.log_level)
-    times = looptimes.LoopTimes()
+    times = looptimes.LoopTimes(clock.MonotonicClock())
     make_loop = functools.partial(_loop, times)
     with asyncio.Runner(loop_factory=make_loop) as loop_runner:
         loop_runner.run(_serve(settings, path, handler, times))
--- a/tests/test_caller_close.py
+++ b/tests/test_caller_close.py
@@ -73,7 +73,7 @@
     @pytest.mark.parametrize('request_bytes', REQUESTS, ids=['get', 'put'])
     def test_request_is_taken_in_with_its_close(self, request_bytes):
         """Guards against work that starts for a caller who has gone."""
-        times = looptimes.LoopTimes()
+        times = looptimes.LoopTimes(clock.MonotonicClock())
         selector = looptimes.TimedSelector(times)
         with asyncio.Runner(
             loop_factory=lambda: asyncio.SelectorEventLoop(selector)
@@ -89,7 +89,9 @@
     async def test_sender_without_end_is_closed(self):
         """Guards against a connection that a slow sender keeps for ever."""
         address = addresses.free()
-        front = front_of(address, looptimes.LoopTimes(), Ticks())
+        front = front_of(
+            address, looptimes.LoopTimes(clock.MonotonicClock()), Ticks()
+        )
         await front.start()
         reader, writer = await asyncio.open_connection(
             *core_addresses.split_address(address)
--- a/tests/test_looptimes.py
+++ b/tests/test_looptimes.py
@@ -34,7 +34,7 @@
 def lines_of(held_ms):
     """Return the lines that a tick of `held_ms` leaves."""
     lines = test_logs.Lines()
-    times = looptimes.LoopTimes()
+    times = looptimes.LoopTimes(clock.MonotonicClock())
     with (
         test_logs.handler_of(lines).applicationbound(),
         asyncio.Runner(
