Send no read again to a server that is leaving

Cause of what the test shows: a read whose connection is silent is sent again on a new one, whether or not the time has come from which no request may reach the leaving server.

Change: no repeat once the server is closed to new work.

Evidence: TestSilentReads failed before.

--- a/laburnumlatch/mesh/silence.py
+++ b/laburnumlatch/mesh/silence.py
@@ -80,9 +80,11 @@
 
 
 def _repeat(world, request, now):
-    # The key may have been asked back while the read ran.
+    # The key may have been asked back, or the server be leaving, meanwhile.
     if not admission.may_start(world, request, now):
         return
+    if admission.is_closed(world.backend, now):
+        return
     if not retrybudget.take(world, request.service, now):
         return
     counting.count(world, 'requests_repeated', service=request.service)
--- /dev/null
+++ b/tests/test_mesh_draining.py
@@ -0,0 +1,39 @@
+"""A backend server that leaves while reads on it do not end."""
+
+from laburnumlatch.experiments import fleet
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import settings
+from tests import test_mesh_late_input
+
+DRAIN_MS = settings.Bounds().drain_ms
+WORK_MS = 90
+
+
+class TestSilentReads:
+    """Reads whose connections have gone silent before the server leaves."""
+
+    def test_none_is_sent_again_after_the_drain_time(self):
+        """Guards against a repeat that reaches a server which is leaving."""
+        net = fleet.deployment(others=1)
+        backend = net.backends['m0']
+        backend.work_ms = WORK_MS
+        for _ in range(40):
+            net.call('m0', '/')
+            net.run(WORK_MS)
+        backend.is_draining = True
+        world = net.worlds['m0']
+        while world.backend.closing_at is None:
+            net.run(1)
+        leaves_at = net.now + DRAIN_MS
+        net.run(world.backend.closing_at - net.now - 5)
+        backend.silent = world.backend.slots
+        for number in range(world.backend.slots):
+            # The sender does not know yet that the server leaves.
+            forward = test_mesh_late_input.forward(routes.Kind.SAFE, number)
+            net.post(
+                'm0', messages.ForwardArrived(90_000 + number, 'b0', forward)
+            )
+        net.run(2000)
+        late = [at for at, _id in backend.started if at > leaves_at]
+        assert not late
