Show the leaving that a restarted agent forgets, and list it

Cause: a deregistration is confirmed also if no backend server is known yet, as in the first seconds of an agent, and nothing is kept of it; a later announcement of the same life makes the server ready.

--- a/tests/test_mesh_announcements.py
+++ b/tests/test_mesh_announcements.py
@@ -40,3 +40,22 @@
         """Guards against work for a server that has left."""
         backend = taken(lambda told: [next_life(told), left(told)])
         assert backend.closing_at is not None
+
+
+class TestRestartedAgent:
+    """An agent that has just started beside a server that lives on."""
+
+    def test_server_that_left_before_it_was_announced_gets_no_work(self):
+        """Guards against a confirmed leaving that the agent forgets."""
+        net = fleet.deployment()
+        backend = net.backends['m0']
+        backend.is_up = False
+        net.stop('m0')
+        net.start('m0')
+        net.run(200)
+        told = backend.announce()
+        net.post('m0', left(told))
+        net.run(200)
+        net.post('m0', attrs.evolve(told, sequence=told.sequence + 1))
+        net.run(1)
+        assert net.worlds['m0'].backend.closing_at is not None
