Keep a leaving that is confirmed before its server is known

Cause: a deregistration was confirmed also by an agent that had just started and knew no server yet, and nothing was kept of it. A later announcement of the same life made the server ready. In the same way a new process on the host began the drain time of a known leaving anew.

Change: identities that have left are kept with the time of day, which an announced life's start is held against, as a later life may bear the same identity; and the own row of the store tells a new process of a leaving that an earlier one had confirmed. What the backend server says is a system of its own now, ownserver; members had two jobs.

--- a/laburnumlatch/core/clock.py
+++ b/laburnumlatch/core/clock.py
@@ -34,6 +34,14 @@
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
 
+class WallClock(Clock):
+    """The time of day of this machine, which may be set back."""
+
+    def now(self):
+        """Return milliseconds of Unix time."""
+        return time.time_ns() // NS_PER_MS
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and workloads."""
 
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -24,10 +24,14 @@
 
 @attrs.define(frozen=True)
 class BackendLeft:
-    """A backend server of this identity says that it is leaving."""
+    """A backend server of this identity says that it is leaving.
+
+    `said_at` is the time of day, in Unix ms like the start of a life.
+    """
 
     ask: int
     server_id: str
+    said_at: int
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -1,12 +1,11 @@
-"""System: hosts and plans by the rows of the store, the own backend server."""
+"""System: hosts and plans by the rows of the store."""
 
 from laburnumlatch.core import errors
 from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
 from laburnumlatch.core import wire
-from laburnumlatch.mesh import backendmsg
-from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import ownserver
 from laburnumlatch.mesh import planchanges
 from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
@@ -33,14 +32,12 @@
 CALL_MS = 2000
 # A backend server that lives announces itself well within this time.
 FIRST_ANNOUNCEMENT_MS = 3000
-# Work that is under way to a leaving backend server must reach it in time.
-DRAIN_MARGIN_MS = 400
 
 _log = logs.logger('members')
 
 
 def run(world, now):
-    """Follow the rows, take in announcements, keep the own row current."""
+    """Follow the rows, and keep the own one current."""
     if not world.is_watching and world.due(SCAN_TICKET, CALL_MS, now):
         world.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
     _watch_again(world, now)
@@ -59,8 +56,6 @@
         world.timers.pop(ROW_TICKET)
     if world.inbox.take_answers(storemsg.StoreRefused, TICKET):
         _rescan(world)
-    _announcements(world, now)
-    _close(world, now)
     if world.has_members and world.due('members/own', OWN_ROW_MS, now):
         _write_own_row(world, now)
 
@@ -219,6 +214,7 @@
 def _take_host(world, record, version):
     if record.host_id == world.host_id:
         world.own_row_version = max(world.own_row_version, version)
+        ownserver.recall_leaving(world, record, world.now)
     known = world.hosts.get(record.host_id)
     if known is None:
         world.hosts.put(record.host_id, rows.Host(record, version))
@@ -237,89 +233,6 @@
         known.version = version
 
 
-def _announcements(world, now):
-    """Take what the backend server says, in the order in which it spoke."""
-    spoken = world.inbox.take(
-        backendmsg.BackendAnnounced, backendmsg.BackendLeft
-    )
-    for told in spoken:
-        if isinstance(told, backendmsg.BackendLeft):
-            is_accepted = _left(world, told, now)
-        else:
-            is_accepted = _announced(world, told, now)
-            outcome = 'accepted' if is_accepted else 'refused'
-            counting.count(world, 'announcements', outcome=outcome)
-        world.outbox.post(
-            backendmsg.AnnouncementAnswered(told.ask, is_accepted),
-        )
-
-
-def _left(world, left, now):
-    """Close the backend server that leaves; another one is not known here."""
-    backend = world.backend
-    if backend is not None and backend.life.server_id == left.server_id:
-        _begin_closing(world, now)
-    return True
-
-
-def _announced(world, told, now):
-    own = world.settings
-    is_own = told.service == own.service and told.address == own.backend_address
-    if not is_own:
-        _log.warning(
-            'announcement-refused',
-            server=told.life.server_id,
-            service=told.service,
-            address=told.address,
-        )
-        return False
-    backend = world.backend
-    if backend is not None and told.life.born < backend.life.born:
-        return True
-    if backend is None or backend.life != told.life:
-        _begin_life(world, told, now)
-        return True
-    if told.sequence <= backend.sequence:
-        return True
-    backend.sequence = told.sequence
-    backend.slots = told.slots
-    backend.heard = now
-    if told.is_draining:
-        _begin_closing(world, now)
-    return True
-
-
-def _begin_life(world, told, now):
-    running = 0 if world.backend is None else world.backend.running
-    world.backend = rows.Backend(
-        life=told.life,
-        address=told.address,
-        slots=told.slots,
-        sequence=told.sequence,
-        joined=now,
-        running=running,
-        heard=now,
-    )
-    _log.info(
-        'backend-announced', server=told.life.server_id, born=told.life.born
-    )
-    if told.is_draining:
-        _begin_closing(world, now)
-
-
-def _begin_closing(world, now):
-    if world.backend.closing_at is None:
-        drain_ms = world.settings.bounds.drain_ms
-        world.backend.closing_at = now + drain_ms - DRAIN_MARGIN_MS
-        _log.info('backend-leaving', server=world.backend.life.server_id)
-
-
-def _close(world, now):
-    closing_at = None if world.backend is None else world.backend.closing_at
-    if closing_at is not None and now < closing_at:
-        world.wake_at(closing_at)
-
-
 def _write_own_row(world, now):
     record = own_record(world)
     known = world.hosts.get(world.host_id)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -115,6 +115,18 @@
     last_end: int = 0
 
 
+@attrs.define(frozen=True)
+class Departure:
+    """A server said at `said_at`, Unix ms, that it leaves.
+
+    From `closing_at`, ms of the agent's clock, no request may reach it. A
+    life that began later is another server under the same identity.
+    """
+
+    said_at: int
+    closing_at: int
+
+
 @attrs.define
 class WorkTime:
     """What requests of a route take at the backend server, from `count`."""
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import outcomes
+from laburnumlatch.mesh import ownserver
 from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import planner
 from laburnumlatch.mesh import role
@@ -25,6 +26,7 @@
 ORDER = (
     counting,
     configuring,
+    ownserver,
     members,
     role,
     leases,
--- a/laburnumlatch/mesh/world.py
+++ b/laburnumlatch/mesh/world.py
@@ -32,6 +32,7 @@
     parked: tables.Table = attrs.Factory(tables.Table)
     deadlines: tables.DueQueue = attrs.Factory(tables.DueQueue)
     placements: tables.DueQueue = attrs.Factory(tables.DueQueue)
+    departures: tables.Table = attrs.Factory(tables.Table)
     split_credits: tables.Table = attrs.Factory(tables.Table)
     work_times: tables.Table = attrs.Factory(tables.Table)
     throttles: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -15,16 +15,19 @@
 _ERRORS = (ValueError, TypeError, KeyError)
 
 
-def decode(call, server_id, body):
+def decode(call, server_id, body, read_at):
     """Return a function that makes the message for an ask's number.
 
+    `read_at` is the time of day, in Unix ms.
     Raises `errors.InvalidInputError` if the call cannot be understood: it
     then names no backend server.
     """
     if not server_id:
         raise errors.InvalidInputError('no identity')
     if call == DEREGISTER:
-        return functools.partial(backendmsg.BackendLeft, server_id=server_id)
+        return functools.partial(
+            backendmsg.BackendLeft, server_id=server_id, said_at=read_at
+        )
     if call != HEARTBEAT:
         raise errors.InvalidInputError('no such call')
     try:
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -8,6 +8,7 @@
 from tornado import web
 
 from laburnumlatch.core import addresses
+from laburnumlatch.core import clock
 from laburnumlatch.core import errors
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
@@ -84,7 +85,9 @@
         call = self.get_query_argument('call', '')
         server_id = self.get_query_argument('of', '')
         try:
-            told = announcements.decode(call, server_id, self.request.body)
+            told = announcements.decode(
+                call, server_id, self.request.body, self._front.time_of_day()
+            )
         except errors.InvalidInputError as error:
             _log.warning(
                 'announcement-unreadable',
@@ -112,6 +115,7 @@
         super().__init__(post)
         self._world = world
         self._count_left_out = count_left_out
+        self._wall_clock = clock.WallClock()
         self._asked = {}
         self._last = 0
         self._servers = []
@@ -139,6 +143,10 @@
             server.stop()
             await server.close_all_connections()
 
+    def time_of_day(self):
+        """Return the time in Unix ms, in which servers tell their starts."""
+        return self._wall_clock.now()
+
     async def ask(self, told):
         """Return whether the systems accept an announcement."""
         self._last += 1
--- a/tests/test_mesh_announcements.py
+++ b/tests/test_mesh_announcements.py
@@ -24,8 +24,10 @@
 
 
 def left(told):
-    """Return the deregistration of a backend server."""
-    return backendmsg.BackendLeft(99, told.life.server_id)
+    """Return the deregistration of a life, a second after its start."""
+    return backendmsg.BackendLeft(
+        99, told.life.server_id, told.life.born + 1000
+    )
 
 
 class TestOneTick:
@@ -59,3 +61,31 @@
         net.post('m0', attrs.evolve(told, sequence=told.sequence + 1))
         net.run(1)
         assert net.worlds['m0'].backend.closing_at is not None
+
+    def test_later_life_under_the_same_identity_gets_work(self):
+        """Guards against a new server that is taken for the one that left."""
+        net = fleet.deployment()
+        backend = net.backends['m0']
+        backend.is_up = False
+        net.stop('m0')
+        net.start('m0')
+        net.run(200)
+        told = backend.announce()
+        net.post('m0', left(told))
+        net.run(200)
+        net.post('m0', next_life(told))
+        net.run(1)
+        assert net.worlds['m0'].backend.closing_at is None
+
+    def test_leaving_that_an_earlier_process_confirmed_goes_on(self):
+        """Guards against a drain time that starts anew with each process."""
+        net = fleet.deployment()
+        backend = net.backends['m0']
+        net.post('m0', left(backend.announce()))
+        net.run(1000)
+        net.stop('m0')
+        net.start('m0')
+        net.run(1500)
+        known = net.worlds['m0'].backend
+        assert known.closing_at <= net.now
+        assert net.worlds['b0'].hosts.get('m0').record.state == 'draining'
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -140,14 +140,22 @@
         """Guards against an error that nobody expects."""
         with pytest.raises(errors.InvalidInputError):
             announcements.decode(
-                announcements.HEARTBEAT, 'i-1', announced_with(name, text)
+                announcements.HEARTBEAT,
+                'i-1',
+                announced_with(name, text),
+                test_platform_decoding.READ_AT,
             )
 
     @pytest.mark.parametrize('body', [NESTED, '1e999', '[]', '"x"', 'null'])
     def test_odd_body_names_no_server(self, body):
         """Guards against a body that is no object."""
         with pytest.raises(errors.InvalidInputError):
-            announcements.decode(announcements.HEARTBEAT, 'i-1', body)
+            announcements.decode(
+                announcements.HEARTBEAT,
+                'i-1',
+                body,
+                test_platform_decoding.READ_AT,
+            )
 
     @pytest.mark.parametrize('text', [f'{10**400}s', f'{10**4000}ms'])
     def test_duration_that_cannot_be(self, text):
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -95,6 +95,7 @@
     'limits': {'max_header_bytes': 100, 'idle_timeout': '15s'},
 })
 
+READ_AT = 1_700_000_009_000
 BEAT = types.MappingProxyType({
     'service': 's1',
     'address': '10.0.0.1:80',
@@ -193,7 +194,7 @@
     def test_fields_are_translated(self):
         """Guards against a life that is told by identity alone."""
         make = announcements.decode(
-            announcements.HEARTBEAT, 'i-1', json.dumps(dict(BEAT))
+            announcements.HEARTBEAT, 'i-1', json.dumps(dict(BEAT)), READ_AT
         )
         assert make(3) == backendmsg.BackendAnnounced(
             ask=3,
@@ -212,14 +213,14 @@
         beat = {key: text for key, text in BEAT.items() if key != name}
         with pytest.raises(errors.InvalidInputError):
             announcements.decode(
-                announcements.HEARTBEAT, 'i-1', json.dumps(beat)
+                announcements.HEARTBEAT, 'i-1', json.dumps(beat), READ_AT
             )
 
     @hypothesis.given(body=strategies.binary(max_size=200))
     def test_any_bytes(self, body):
         """Guards against bytes that end the process."""
         with pytest.raises(errors.InvalidInputError):
-            announcements.decode(announcements.HEARTBEAT, 'i-1', body)
+            announcements.decode(announcements.HEARTBEAT, 'i-1', body, READ_AT)
 
     @hypothesis.given(
         name=strategies.sampled_from(sorted(BEAT)),
@@ -234,7 +235,7 @@
         beat = {**BEAT, name: text}
         try:
             told = announcements.decode(
-                announcements.HEARTBEAT, 'i-1', json.dumps(beat)
+                announcements.HEARTBEAT, 'i-1', json.dumps(beat), READ_AT
             )(1)
         except errors.InvalidInputError:
             return
