Name parts by the usual terms, and write one test set-up once

From reading the whole change again. Transit of frames had the name of the transit of requests (rows.Transit) and is framedelay.FrameDelay; losers are losing_hosts, looks at the sockets are polls, a host's room is its capacity, and a connection is silent_since a time. The two tests of a silent agent share their set-up. The count of failures behind a wait is bounded.

--- a/laburnumlatch/core/engine.py
+++ b/laburnumlatch/core/engine.py
@@ -5,9 +5,9 @@
 from laburnumlatch.core import clock
 from laburnumlatch.core import looptimes
 
-# A tick waits for so many more looks at the sockets, so that it sees the ends
+# A tick waits for so many more polls of the sockets, so that it sees the ends
 # of requests that were read late.
-MAX_LOOKS = 3
+MAX_POLLS = 3
 
 
 class Engine:
@@ -26,7 +26,7 @@
         self._takers = {}
         self._soon = None
         self._later = None
-        self._looks = 0
+        self._polls = 0
 
     def register(self, kind, carry_out):
         """Give each outgoing message of the class `kind` to `carry_out`."""
@@ -50,11 +50,11 @@
 
     def _tick(self):
         times = self._times
-        if times.may_have_more and self._looks < MAX_LOOKS:
-            self._looks += 1
+        if times.may_have_more and self._polls < MAX_POLLS:
+            self._polls += 1
             self._soon = self._loop.call_soon(self._tick)
             return
-        self._looks = 0
+        self._polls = 0
         self._soon = None
         times.note(looptimes.INPUT)
         for kind, number in self._world.inbox.counts():
--- a/laburnumlatch/core/looptimes.py
+++ b/laburnumlatch/core/looptimes.py
@@ -1,6 +1,6 @@
 """Where the loop spends its time, and a line about each pass that is late.
 
-A pass is what the loop does between two looks at its sockets. Input that
+A pass is what the loop does between two polls of its sockets. Input that
 arrives in a pass waits for its end, so a long one delays everything here.
 """
 
@@ -42,15 +42,14 @@
         """Whether input that came meanwhile may not have been read yet.
 
         After a long pass a connection may hold more than one piece of input,
-        as a request and the close behind it. Each look at the sockets brings
-        one of them.
+        as a request and the close behind it. Each poll brings one of them.
         """
         if self._held_pass is None:
             return False
         return self._passes <= self._held_pass + CATCH_UP_PASSES
 
     def begin(self):
-        """Note that the loop has looked at its sockets."""
+        """Note that the loop has polled its sockets."""
         self._began = self._clock.now()
         self._passes += 1
 
--- a/laburnumlatch/mesh/transit.py
+++ b/laburnumlatch/mesh/framedelay.py
@@ -9,7 +9,7 @@
 DRIFT_RATE = 0.04
 
 
-class Transit:
+class FrameDelay:
     """Frames of one connection, all stamped by the clock of their sender."""
 
     def __init__(self):
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -1,4 +1,4 @@
-"""System: takes requests in, before it is looked for those that have ended.
+"""System: takes requests in, before those that have ended are dropped.
 
 A request and its end may be read in the same tick, most of all by an agent
 that was held up. So no request is placed before all ends are known.
@@ -34,10 +34,10 @@
 def _take_arrived(world, arrived, now):
     counting.count(world, 'requests_received')
     parent = _parent(world, arrived.head.request_id)
-    is_left = leaving.refuses_callers(world, now) and parent is None
+    is_closed = leaving.refuses_callers(world, now) and parent is None
     if world.configuration is None:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'not-ready')
-    elif is_left:
+    elif is_closed:
         _refuse(world, arrived, messages.Verdict.NOT_RUN, 'stopping')
     else:
         _take_routed(world, arrived, parent, now)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -134,14 +134,14 @@
     """A plan that the planner is writing.
 
     `failed` is when the call ended without an answer, None before that: the
-    write may still take effect until the role's row has changed. `losers` are
-    the hosts that would lose keys of plan `compared_version` unreleased.
+    write may still take effect until the role's row has changed.
+    `losing_hosts` would lose keys of plan `compared_version` unreleased.
     """
 
     plan: ranges.Plan
     failed: int | None = None
     compared_version: int | None = None
-    losers: frozenset[str] = frozenset()
+    losing_hosts: frozenset[str] = frozenset()
 
 
 class HoldingState(enum.StrEnum):
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -12,9 +12,9 @@
 
 # For the connection and the first frame of the other agent.
 CONNECT_TIMEOUT_MS = 500
-# A connection on which answers are due is asked for a sign after the first
-# time without a byte; after the second nothing more is sent on it, and after
-# the third it is given up.
+# A connection on which answers are due is pinged after the first time without
+# a byte; after the second nothing more is sent on it, and after the third it
+# is given up.
 PING_MS = 250
 QUIET_MS = 350
 SILENT_MS = 800
@@ -40,10 +40,10 @@
         self._link = link
         self._host_id = host_id
         self._waiting = []
-        self._untold = {}
+        self._latest = {}
         self._open = {}
-        # Since when the other agent owes a sign of life, None if it does not.
-        self._owed_since = None
+        # Since when a response has been due and nothing has come, or None.
+        self._silent_since = None
         self._is_pinged = False
         self._greeted = asyncio.Event()
         self._dialing = None
@@ -75,7 +75,7 @@
         else:
             self._waiting.append(asked)
 
-    def tell(self, subject, frame):
+    def send_latest(self, subject, frame):
         """Send a frame that has no answer now, or when the other agent reads.
 
         Of the frames of a `subject` that wait only the last is sent.
@@ -83,7 +83,7 @@
         if self._may_send():
             self.send(frame)
         else:
-            self._untold[subject] = frame
+            self._latest[subject] = frame
 
     def cancel(self, number, exchange):
         """Say that nobody waits for this answer."""
@@ -97,9 +97,9 @@
 
     def check(self):
         """Ping a silent connection, and give up one that stays silent."""
-        if self._owed_since is None:
+        if self._silent_since is None:
             return
-        silent_ms = self._link.now() - self._owed_since
+        silent_ms = self._link.now() - self._silent_since
         if silent_ms >= SILENT_MS:
             _log.warning(
                 'peer-silent',
@@ -120,7 +120,7 @@
     def connection_lost(self, error):
         """Report the requests whose answers will not come."""
         self._greeted.set()
-        self._owed_since = None
+        self._silent_since = None
         self._report_lost(str(error))
 
     def data_received(self, chunk):
@@ -128,7 +128,7 @@
         self._greeted.set()
         self._is_pinged = False
         super().data_received(chunk)
-        self._owed_since = self._link.now() if self._open else None
+        self._silent_since = self._link.now() if self._open else None
         self._send_waiting()
 
     def received(self, message):
@@ -162,22 +162,22 @@
     def _may_send(self):
         if not self._greeted.is_set() or self.transport.is_closing():
             return False
-        if self._owed_since is None:
+        if self._silent_since is None:
             return True
-        return self._link.now() < self._owed_since + QUIET_MS
+        return self._link.now() < self._silent_since + QUIET_MS
 
     def _send_ask(self, asked):
-        if self._owed_since is None:
-            self._owed_since = self._link.now()
+        if self._silent_since is None:
+            self._silent_since = self._link.now()
         self._open[_key_of(asked)] = asked
         self.send(asked)
 
     def _send_waiting(self):
         if self.transport.is_closing():
             return
-        for frame in self._untold.values():
+        for frame in self._latest.values():
             self.send(frame)
-        self._untold.clear()
+        self._latest.clear()
         waiting = self._waiting
         self._waiting = []
         for asked in waiting:
@@ -186,7 +186,7 @@
     def _report_lost(self, detail):
         self._link.lost(self._host_id, self)
         # Frames without an answer are repeated by who sends them.
-        self._untold.clear()
+        self._latest.clear()
         for asked in self._open.values():
             self._fail(asked, messages.Phase.SENT, detail)
         self._open.clear()
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -8,6 +8,7 @@
 from laburnumlatch.core import logs
 from laburnumlatch.core import tasks
 from laburnumlatch.core import wire
+from laburnumlatch.mesh import framedelay
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import outbound
@@ -15,7 +16,6 @@
 from laburnumlatch.mesh import planchanges
 from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
-from laburnumlatch.mesh import transit
 
 CHECK_MS = 100
 BACKLOG = 512
@@ -99,7 +99,7 @@
         self._asked[number] = (inbound, forward.number, forward.exchange)
         inbound.open[forward.number, forward.exchange] = number
         read = self.now()
-        waited_ms = inbound.transit.waited_ms(message.made, read)
+        waited_ms = inbound.delay.waited_ms(message.made, read)
         self._post(
             messages.ForwardArrived(
                 number, inbound.host_id, forward, read, waited_ms
@@ -139,7 +139,7 @@
             frame = kind(wire.pack_compressed(told), message.row_version)
             self._told_plans[key] = frame
         dialed = self._outbound(message.host_id, message.address)
-        dialed.tell(key, frame)
+        dialed.send_latest(key, frame)
 
     def _outbound(self, host_id, address):
         known = self._dialed.get(host_id)
@@ -201,7 +201,7 @@
         super().__init__()
         self.host_id = ''
         self.open = {}
-        self.transit = transit.Transit()
+        self.delay = framedelay.FrameDelay()
         self._link = link
         self._takers = {
             peermsg.Hello: self._hello,
@@ -225,7 +225,7 @@
 
     def _hello(self, message):
         self.host_id = message.host_id
-        self.transit.waited_ms(message.made, self._link.now())
+        self.delay.waited_ms(message.made, self._link.now())
         # The other side sends nothing before it knows that this one reads.
         self.send(self._link.hello())
 
--- a/laburnumlatch/mesh/planwrites.py
+++ b/laburnumlatch/mesh/planwrites.py
@@ -17,11 +17,11 @@
         return False
     if write.compared_version != known.version:
         write.compared_version = known.version
-        write.losers = losers(known, write.plan)
-    return host_id in write.losers
+        write.losing_hosts = losing_hosts(known, write.plan)
+    return host_id in write.losing_hosts
 
 
-def losers(known, plan):
+def losing_hosts(known, plan):
     """Return the hosts that lose keys of `known` by `plan` unreleased."""
     return frozenset(
         piece.host_id
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -265,7 +265,7 @@
     hosts = sorted(
         members.live_hosts(world),
         key=lambda host: (
-            -_room(host.record),
+            -_capacity(host.record),
             world.is_divided_host(host),
             host.host_id,
         ),
@@ -276,8 +276,8 @@
     return ids.index(world.host_id)
 
 
-def _room(record):
-    """Return how much work a planner could do on a host.
+def _capacity(record):
+    """Return how much planning a host can take.
 
     All hosts speak to the planner, so a slow link binds like a slow core.
     """
--- a/laburnumlatch/mesh/storeretry.py
+++ b/laburnumlatch/mesh/storeretry.py
@@ -7,6 +7,8 @@
 # return.
 FIRST_MS = 300
 LONGEST_MS = 1600
+# Beyond this the wait is `LONGEST_MS`.
+MAX_DOUBLINGS = 3
 # Hosts that failed together ask again at different times.
 SPREAD_RATE = 0.25
 
@@ -20,7 +22,7 @@
     def failed(self, rng):
         """Note a failure; return after how many ms to try again."""
         wait_ms = min(FIRST_MS * 2**self.failures, LONGEST_MS)
-        self.failures += 1
+        self.failures = min(self.failures + 1, MAX_DOUBLINGS)
         return int(wait_ms * (1 - SPREAD_RATE * rng.random()))
 
     def succeeded(self):
--- a/tests/test_mesh_late_input.py
+++ b/tests/test_mesh_late_input.py
@@ -1,6 +1,7 @@
 """Input that an agent reads late: ends of requests, and the time they have."""
 
 import asyncio
+import contextlib
 import math
 import socket
 
@@ -8,11 +9,11 @@
 
 from laburnumlatch.core import clock
 from laburnumlatch.experiments import fleet
+from laburnumlatch.mesh import framedelay
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import outbound
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import ticks
-from laburnumlatch.mesh import transit
 from standins import proxy
 from tests import addresses
 from tests import test_mesh_peerlink
@@ -23,6 +24,8 @@
 # The clocks of two agents may run apart by 2 % each way, so that much of a
 # wait cannot be told from a clock.
 APART_RATE = 0.04
+# An agent counts as quiet, and is not yet given up.
+QUIET_S = (outbound.SILENT_MS + outbound.QUIET_MS) / 2 / clock.MS_PER_S
 KINDS = list(routes.Kind)
 
 
@@ -187,7 +190,7 @@
     @pytest.mark.parametrize('rate', [0.96, 0.98, 1, 1.02, 1.04])
     def test_fast_clock_is_no_delay(self, rate):
         """Guards against requests whose time is taken by a clock."""
-        frames = transit.Transit()
+        frames = framedelay.FrameDelay()
         waited = [
             frames.waited_ms(5000 + made, int(made * rate))
             for made in range(0, 120_000, 250)
@@ -195,6 +198,22 @@
         assert max(waited) <= 1
 
 
+@contextlib.asynccontextmanager
+async def silenced(first_port):
+    """Yield two agents; `b` has read request 1 of `a`, and reads no more."""
+    agents = test_mesh_peerlink.Agents()
+    await agents.start(first_port)
+    target = proxy.Proxy(agents.ports['b'])
+    way = addresses.free()
+    async with await proxy.listen(target, way):
+        agents.ports['b'] = way
+        agents.send(forward(routes.Kind.ONCE, 1))
+        await agents.wait_for('b', messages.ForwardArrived)
+        proxy.hold(target, proxy.UP)
+        yield agents
+        await agents.stop()
+
+
 class TestAgentThatDoesNotRead:
     """An agent whose connections are accepted, and not read."""
 
@@ -212,52 +231,29 @@
 
     async def test_requests_after_its_silence_wait_here(self):
         """Guards against requests sent to an agent that no longer reads."""
-        agents = test_mesh_peerlink.Agents()
-        await agents.start(17550)
-        target = proxy.Proxy(agents.ports['b'])
-        way = addresses.free()
-        server = await proxy.listen(target, way)
-        agents.ports['b'] = way
-        agents.send(forward(routes.Kind.ONCE, 1))
-        await agents.wait_for('b', messages.ForwardArrived)
-        proxy.hold(target, proxy.UP)
-        agents.send(forward(routes.Kind.ONCE, 2))
-        await asyncio.sleep(
-            (outbound.SILENT_MS + outbound.PING_MS) / 2 / clock.MS_PER_S
-        )
-        agents.send(forward(routes.Kind.ONCE, 3))
-        phases = {}
-        for _ in range(3):
-            failed = await agents.wait_for('a', messages.ExchangeFailed)
-            phases[failed.number] = failed.phase
-        assert phases == {
-            1: messages.Phase.SENT,
-            2: messages.Phase.SENT,
-            3: messages.Phase.UNSENT,
-        }
-        await agents.stop()
-        server.close()
+        async with silenced(17550) as agents:
+            agents.send(forward(routes.Kind.ONCE, 2))
+            await asyncio.sleep(QUIET_S)
+            agents.send(forward(routes.Kind.ONCE, 3))
+            phases = {}
+            for _ in range(3):
+                failed = await agents.wait_for('a', messages.ExchangeFailed)
+                phases[failed.number] = failed.phase
+            assert phases == {
+                1: messages.Phase.SENT,
+                2: messages.Phase.SENT,
+                3: messages.Phase.UNSENT,
+            }
 
     async def test_canceled_requests_do_not_hide_its_silence(self):
         """Guards against requests sent after all others have been given up."""
-        agents = test_mesh_peerlink.Agents()
-        await agents.start(17560)
-        target = proxy.Proxy(agents.ports['b'])
-        way = addresses.free()
-        server = await proxy.listen(target, way)
-        agents.ports['b'] = way
-        agents.send(forward(routes.Kind.ONCE, 1))
-        await agents.wait_for('b', messages.ForwardArrived)
-        proxy.hold(target, proxy.UP)
-        for number in (1, 2):
+        async with silenced(17560) as agents:
             agents.send(forward(routes.Kind.ONCE, 2))
-            agents.links['a'].carry_out(messages.CancelForward('b', number, 1))
-        await asyncio.sleep(
-            (outbound.SILENT_MS + outbound.QUIET_MS) / 2 / clock.MS_PER_S
-        )
-        agents.send(forward(routes.Kind.ONCE, 3))
-        failed = await agents.wait_for('a', messages.ExchangeFailed)
-        assert failed.number == 3
-        assert failed.phase == messages.Phase.UNSENT
-        await agents.stop()
-        server.close()
+            for number in (1, 2):
+                canceled = messages.CancelForward('b', number, 1)
+                agents.links['a'].carry_out(canceled)
+            await asyncio.sleep(QUIET_S)
+            agents.send(forward(routes.Kind.ONCE, 3))
+            failed = await agents.wait_for('a', messages.ExchangeFailed)
+            assert failed.number == 3
+            assert failed.phase == messages.Phase.UNSENT
