--- a/tests/test_mesh_announcements.py
+++ b/tests/test_mesh_announcements.py
@@ -44,35 +44,36 @@
         assert backend.closing_at is not None
 
 
+def restarted_beside_leaving():
+    """Return a deployment and the announcement of a server that has left.
+
+    Its agent had just started, and had not heard of the server before.
+    """
+    net = fleet.deployment()
+    backend = net.backends['m0']
+    backend.is_up = False
+    net.stop('m0')
+    net.start('m0')
+    net.run(200)
+    told = backend.announce()
+    net.post('m0', left(told))
+    net.run(200)
+    return net, told
+
+
 class TestRestartedAgent:
     """An agent that has just started beside a server that lives on."""
 
     def test_server_that_left_before_it_was_announced_gets_no_work(self):
         """Guards against a confirmed leaving that the agent forgets."""
-        net = fleet.deployment()
-        backend = net.backends['m0']
-        backend.is_up = False
-        net.stop('m0')
-        net.start('m0')
-        net.run(200)
-        told = backend.announce()
-        net.post('m0', left(told))
-        net.run(200)
+        net, told = restarted_beside_leaving()
         net.post('m0', attrs.evolve(told, sequence=told.sequence + 1))
         net.run(1)
         assert net.worlds['m0'].backend.closing_at is not None
 
     def test_later_life_under_the_same_identity_gets_work(self):
         """Guards against a new server that is taken for the one that left."""
-        net = fleet.deployment()
-        backend = net.backends['m0']
-        backend.is_up = False
-        net.stop('m0')
-        net.start('m0')
-        net.run(200)
-        told = backend.announce()
-        net.post('m0', left(told))
-        net.run(200)
+        net, told = restarted_beside_leaving()
         net.post('m0', next_life(told))
         net.run(1)
         assert net.worlds['m0'].backend.closing_at is None
