--- a/laburnumlatch/experiments/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -11,6 +11,7 @@
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
+from laburnumlatch.experiments import frontbench
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import leasemsg
@@ -351,4 +352,9 @@
     ('bytes of a change of one piece, pieces', SIZES, _change_bytes),
     ('host bytes', SIZES, _host_bytes),
     ('request bytes', (100, 300), _request_bytes),
+    (
+        'request us at the front end, pipelined',
+        frontbench.DEPTHS,
+        frontbench.request_us,
+    ),
 )
