--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -43,7 +43,7 @@
     """Send a request that occupies a slot to the local backend server.
 
     Each call begins a new exchange; responses to earlier ones are ignored.
-    A request that is not safe, or that is sent again, gets a new connection.
+    A request that is sent again gets a new connection.
     """
     backend = agent.backend
     request.exchange += 1
@@ -57,6 +57,7 @@
             head=request.head,
             body=request.body,
             time_left_ms=request.deadline - now,
-            fresh_connection=not request.is_safe or request.is_retry,
+            fresh_connection=request.is_retry,
+            is_safe=request.is_safe,
         )
     )
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -284,9 +284,10 @@
 class Send:
     """Send the request to the local backend server.
 
-    `server_id` is the identity under which that server must answer. With
-    `fresh_connection` the request gets a new connection: on a kept one that
-    turns out to be closed, the HTTP client would send it again by itself.
+    `server_id` is the identity under which that server must answer. `is_safe`
+    says that the request may be sent once more if a kept connection turns out
+    to be closed. With `fresh_connection` it gets a new connection: on a kept
+    one, the response to an earlier exchange of it could be taken for its own.
     """
 
     number: int
@@ -297,6 +298,7 @@
     body: bytes
     time_left_ms: int
     fresh_connection: bool
+    is_safe: bool = False
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/platform/requestparser.py
+++ b/laburnumlatch/platform/requestparser.py
@@ -12,6 +12,7 @@
 import httptools
 
 from laburnumlatch.core import errors
+from laburnumlatch.platform import fields as fields_module
 
 # Bytes are parsed in small pieces, because httptools cannot stop between two
 # requests: a piece of the first size holds few requests.
@@ -48,9 +49,7 @@
 
     def get(self, name, default=None):
         """Return the text of a field; of a repeated one, all joined by `,`."""
-        name = name.lower()
-        texts = [text for field, text in self.fields if field.lower() == name]
-        return ','.join(texts) if texts else default
+        return fields_module.get(self.fields, name, default)
 
 
 class RequestSink(abc.ABC):
--- a/laburnumlatch/platform/responsebytes.py
+++ b/laburnumlatch/platform/responsebytes.py
@@ -1,17 +1,16 @@
 """Encodes responses to callers."""
 
 import http
-import re
 
 import attrs
 
-# Characters that would end a field and begin another one.
-_LINE_END = re.compile('[\r\n\0]')
+from laburnumlatch.platform import fields
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUSES_WITHOUT_BODY = frozenset((
     http.HTTPStatus.NO_CONTENT,
     http.HTTPStatus.NOT_MODIFIED,
 ))
-CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 @attrs.define(frozen=True)
@@ -28,21 +27,17 @@
 
     `is_last` says that the connection closes behind it.
     """
-    lines = [f'HTTP/1.1 {response.status} {_reason(response.status)}']
-    lines += [
-        f'{name}: {text}'
-        for name, text in response.fields
-        if not (_LINE_END.search(name) or _LINE_END.search(text))
-    ]
-    body = response.body
-    if response.status not in _STATUSES_WITHOUT_BODY:
-        lines.append(f'Content-Length: {len(body)}')
+    pairs = list(response.fields)
+    has_body = response.status not in _STATUSES_WITHOUT_BODY
+    if has_body:
+        pairs.append(('Content-Length', str(len(response.body))))
     if is_last:
-        lines.append('Connection: close')
-    if method == 'HEAD' or response.status in _STATUSES_WITHOUT_BODY:
-        body = b''
-    lines.append('\r\n')
-    return '\r\n'.join(lines).encode('latin-1', 'replace') + body
+        pairs.append(('Connection', 'close'))
+    status_line = f'HTTP/1.1 {response.status} {_reason(response.status)}'
+    head = fields.encode_head(status_line, pairs)
+    if has_body and method != 'HEAD':
+        return head + response.body
+    return head
 
 
 def _reason(status):
--- /dev/null
+++ b/laburnumlatch/platform/servercall.py
@@ -0,0 +1,81 @@
+"""A call to a server and its outcome."""
+
+from collections import abc
+
+import attrs
+
+from laburnumlatch.platform import fields as fields_module
+
+
+@attrs.define(frozen=True)
+class ServerResponse:
+    """Complete response to a call; `fields` are pairs of name and text.
+
+    `is_first` says that it is the first on its connection, so that it cannot
+    be an earlier response sent once more.
+    """
+
+    status: int
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+    is_first: bool
+
+    def get(self, name, default=None):
+        """Return the text of a field; of a repeated one, all joined by `,`."""
+        return fields_module.get(self.fields, name, default)
+
+
+@attrs.define(frozen=True)
+class CallFailure:
+    """A call without a complete response.
+
+    `is_sent` says that bytes of it may have reached the server.
+    """
+
+    detail: str
+    is_sent: bool
+
+
+@attrs.define(eq=False)
+class ServerCall:
+    """One request to the server at `address` (`ip:port`).
+
+    `head` and `body` are its bytes, `method` its method. A response with
+    another request ID than `request_id` is that of another request.
+
+    A call goes to a kept connection that has rested at most `max_rest_ms`.
+    With `may_repeat` it is sent once more, on a new connection, if a kept one
+    turns out to be closed. `on_end` is called once with a `ServerResponse` or
+    a `CallFailure`, at the latest after `timeout_ms`. `was_sent` says that
+    bytes of it may have reached the server.
+    """
+
+    address: str
+    method: str
+    head: bytes
+    body: bytes
+    timeout_ms: int
+    on_end: abc.Callable
+    request_id: str = ''
+    max_rest_ms: int = 0
+    may_repeat: bool = False
+    was_sent: bool = False
+    is_done: bool = False
+    connection: object = None
+    timer: object = None
+
+    @property
+    def needs_new_connection(self):
+        """Whether no kept connection may be used."""
+        return not self.max_rest_ms
+
+    def fail(self, detail):
+        """Report that there is no complete response, and why."""
+        self.end(CallFailure(detail, self.was_sent))
+
+    def end(self, outcome):
+        """Report the outcome, unless the call has ended or was canceled."""
+        if not self.is_done:
+            self.is_done = True
+            self.timer.cancel()
+            self.on_end(outcome)
--- /dev/null
+++ b/laburnumlatch/platform/serverconnection.py
@@ -0,0 +1,196 @@
+"""One connection to a server; it carries one call at a time."""
+
+import asyncio
+
+from laburnumlatch.core import clock
+from laburnumlatch.core import logs
+from laburnumlatch.platform import responseparser
+from laburnumlatch.platform import servercall
+from laburnumlatch.platform import wire
+
+WRONG_REQUEST_ID = 'the response has the ID of another request'
+CLOSED = 'the connection closed before the end of the response'
+TOO_LARGE = 'no memory for the body of the response'
+# How long a connection may rest if the server does not say.
+DEFAULT_KEEP_MS = 4000
+# A connection is not used this shortly before the server closes it.
+KEEP_MARGIN_MS = 500
+
+_log = logs.logger('backend')
+
+
+class ServerConnection(asyncio.Protocol, responseparser.ResponseSink):
+    """Sends calls and reads their responses.
+
+    A late copy of the response to the previous call is skipped, as its
+    request ID tells. Any other bytes that belong to no call close the
+    connection.
+    """
+
+    def __init__(self, pool, address):
+        """Belong to `pool`, a `ServerPool`; `address` is the server's."""
+        self.address = address
+        self.rests_since = None
+        self._pool = pool
+        self._transport = None
+        self._parser = responseparser.ResponseParser(self)
+        self._call = None
+        self._previous_id = ''
+        self._calls_started = 0
+        self._head = None
+        self._chunks = []
+        self._buffered_bytes = 0
+        self._has_received = False
+        self._has_ended = False
+        self._is_skipping = False
+        self._keep_ms = DEFAULT_KEEP_MS
+
+    def connection_made(self, transport):
+        """Keep the transport; called by asyncio."""
+        self._transport = transport
+
+    def start(self, call):
+        """Send a `ServerCall`; the previous one has ended."""
+        self._call = call
+        call.connection = self
+        call.was_sent = True
+        self._calls_started += 1
+        self._has_received = False
+        self._begin_response()
+        self._transport.write(call.head)
+        if call.body:
+            self._transport.write(call.body)
+
+    def can_carry(self, call, now):
+        """Return whether a resting connection may carry a call now."""
+        if self._transport.is_closing() or self.address != call.address:
+            return False
+        rested_ms = now - self.rests_since
+        return (
+            rested_ms <= min(call.max_rest_ms, self._keep_ms)
+            and call.request_id != self._previous_id
+        )
+
+    def data_received(self, data):
+        """Parse a part of a response; called by asyncio."""
+        if self._call is None:
+            self._close_for_stray_bytes()
+            return
+        self._has_received = True
+        try:
+            self._parser.feed(data)
+        except responseparser.MalformedResponseError as error:
+            self._fail(str(error))
+        if self._call is None and not self._parser.is_between_responses:
+            self._close_for_stray_bytes()
+
+    def eof_received(self):
+        """Note a regular end; asyncio then closes the connection."""
+        self._has_ended = True
+
+    def connection_lost(self, _error):
+        """End the call; a body without a length may end so."""
+        head = self._head
+        if self._has_ended and head is not None and not head.has_length:
+            self._complete()
+        else:
+            self._fail(CLOSED)
+        self._pool.remove(self)
+
+    def close(self):
+        """Close the connection at once and report nothing."""
+        self._call = None
+        self._begin_response()
+        self._transport.abort()
+
+    def head_received(self, head):
+        """Check whose response it is."""
+        call = self._call
+        if call is None:
+            self._close_for_stray_bytes()
+            return
+        response_id = head.get(wire.REQUEST_ID, call.request_id)
+        if response_id != call.request_id:
+            self._is_skipping = response_id == self._previous_id
+            if not self._is_skipping:
+                self._fail(WRONG_REQUEST_ID)
+            return
+        self._head = head
+        if call.method == 'HEAD':
+            # The parser would wait for the body that the length announces.
+            self._complete()
+            self.close()
+
+    def body_received(self, chunk):
+        """Keep a part of the body, if there is memory for it."""
+        if self._call is None or self._is_skipping:
+            return
+        if self._pool.can_buffer(len(chunk)):
+            self._count_buffered(len(chunk))
+            self._chunks.append(chunk)
+        else:
+            self._fail(TOO_LARGE)
+
+    def response_complete(self):
+        """End the call and keep the connection, if the server does."""
+        if self._is_skipping:
+            self._is_skipping = False
+        elif self._head is not None:
+            head = self._head
+            # Otherwise the rest of the request would be due before the next.
+            is_sent = not self._transport.get_write_buffer_size()
+            self._complete()
+            if head.keeps_alive and is_sent:
+                self._keep_ms = _keep_ms(head)
+                self._pool.keep(self)
+            else:
+                self._transport.abort()
+
+    def _complete(self):
+        call = self._call
+        response = servercall.ServerResponse(
+            self._head.status,
+            self._head.fields,
+            b''.join(self._chunks),
+            is_first=self._calls_started == 1,
+        )
+        self._previous_id = call.request_id
+        self._call = None
+        self._begin_response()
+        call.end(response)
+
+    def _fail(self, detail):
+        """End the call without a response, or send it again elsewhere."""
+        call = self._call
+        if call is None:
+            return
+        was_kept = self._calls_started > 1
+        self.close()
+        if was_kept and not self._has_received and call.may_repeat:
+            self._pool.repeat(call)
+        else:
+            call.fail(detail)
+
+    def _close_for_stray_bytes(self):
+        """Close the connection: bytes came that belong to no call."""
+        if not self._transport.is_closing():
+            _log.notice('stray-bytes', server=self.address)
+            self.close()
+
+    def _begin_response(self):
+        self._head = None
+        self._chunks.clear()
+        self._count_buffered(-self._buffered_bytes)
+
+    def _count_buffered(self, more_bytes):
+        self._buffered_bytes += more_bytes
+        self._pool.count_buffered(more_bytes)
+
+
+def _keep_ms(head):
+    """Return how long a connection may rest behind a response, in ms."""
+    for parameter in head.get('Keep-Alive', '').lower().split(','):
+        name, _equals, seconds = parameter.strip().partition('=')
+        if name == 'timeout' and seconds.isascii() and seconds.isdecimal():
+            return int(seconds) * clock.MS_PER_S - KEEP_MARGIN_MS
+    return DEFAULT_KEEP_MS
