--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -82,6 +82,8 @@
         kind=request.kind,
         priority=request.priority,
         left_ms=request.deadline - now,
+        connection=request.connection or None,
+        behind=pipelining.open_count(agent, request.connection),
     )
 
 
--- a/laburnumlatch/mesh/pipelining.py
+++ b/laburnumlatch/mesh/pipelining.py
@@ -34,6 +34,12 @@
     connection.open_numbers.append(request.number)
 
 
+def open_count(agent, connection_number):
+    """Return how many requests of a connection are open."""
+    connection = agent.connections.get(connection_number)
+    return 0 if connection is None else len(connection.open_numbers)
+
+
 def hold_if_blocked(agent, request):
     """Return whether an earlier request holds this one, and then keep it."""
     if not _is_blocked(agent, request):
--- a/laburnumlatch/platform/callerconnection.py
+++ b/laburnumlatch/platform/callerconnection.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import http
+import itertools
 
+from laburnumlatch.core import logs
 from laburnumlatch.platform import callerexchanges
 from laburnumlatch.platform import requestreader
 from laburnumlatch.platform import responsebytes
+from laburnumlatch.platform import wire
 
 # Bytes that are read ahead at a bound. A close is seen only behind the bytes
 # that were sent before it, so this keeps noticing callers who leave.
@@ -14,6 +17,10 @@
 # time: closing a connection with unread bytes resets it, and the caller loses
 # the response.
 LINGER_MS = 2000
+# A response that waited longer than this for an earlier one is logged.
+LOGGED_WAIT_MS = 100
+
+_log = logs.logger('callers')
 
 
 class CallerConnection(asyncio.Protocol):
@@ -76,7 +83,7 @@
 
     def respond(self, exchange, response):
         """Write the response of an open exchange in its turn."""
-        self._exchanges.answer(exchange, response)
+        self._exchanges.answer(exchange, response, self._front.now)
         self.write_due()
         self._parse()
 
@@ -118,6 +125,7 @@
             )
             for exchange in due
         ]
+        self._log_waits(due)
         if encoded:
             self._active_at = self._front.now
             self._transport.write(b''.join(encoded))
@@ -147,6 +155,19 @@
             self._unsent_bytes = unsent_bytes
             self._active_at = self._front.now
 
+    def _log_waits(self, due):
+        """Log responses that waited long for the one written before them."""
+        for earlier, exchange in itertools.pairwise(due):
+            waited_ms = self._front.now - exchange.ready_at
+            if waited_ms >= LOGGED_WAIT_MS:
+                _log.info(
+                    'response-waited',
+                    request=exchange.head.get(wire.REQUEST_ID, ''),
+                    behind=earlier.head.get(wire.REQUEST_ID, ''),
+                    waited_ms=waited_ms,
+                    connection=self.number,
+                )
+
     def _parse(self):
         self._reader.parse()
         self._pause_at_bound()
--- a/laburnumlatch/platform/callerexchanges.py
+++ b/laburnumlatch/platform/callerexchanges.py
@@ -14,7 +14,8 @@
 
     `number` is None until the request is complete, and stays so if it is
     refused before. `body_bytes` counts what was received of the body,
-    `buffered_bytes` the body, and the response while it waits.
+    `buffered_bytes` the body, and the response while it waits from
+    `ready_at`, in ms of the agent's clock, for earlier ones.
     """
 
     connection: object
@@ -23,6 +24,7 @@
     body_bytes: int = 0
     number: int | None = None
     response: responsebytes.Response | None = None
+    ready_at: int = 0
     buffered_bytes: int = 0
     expects_continue: bool = False
 
@@ -67,9 +69,10 @@
         exchange.chunks.clear()
         return body
 
-    def answer(self, exchange, response):
+    def answer(self, exchange, response, now):
         """Keep the response of an exchange in place of its request."""
         exchange.chunks.clear()
+        exchange.ready_at = now
         exchange.response = response
         size = len(response.body)
         self._count(exchange, size - exchange.buffered_bytes)
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -158,7 +158,7 @@
 
     def _answer_early(self, exchange, response):
         self.end()
-        self._exchanges.answer(exchange, response)
+        self._exchanges.answer(exchange, response, self._front.now)
         self._connection.write_due()
 
     def _update_counts(self):
