--- a/laburnumlatch/platform/callerconnection.py
+++ b/laburnumlatch/platform/callerconnection.py
@@ -61,7 +61,7 @@
         if not self._reader.is_ended:
             self._active_at = self._front.now
             self._reader.add(data)
-            self._pause_at_bound()
+            self._parse()
 
     def eof_received(self):
         """Cancel all requests; asyncio then closes the connection."""
@@ -125,7 +125,9 @@
             )
             for exchange in due
         ]
-        self._log_waits(due)
+        for earlier, exchange in itertools.pairwise(due):
+            if self._front.now - exchange.ready_at >= LOGGED_WAIT_MS:
+                self._log_wait('response-waited', exchange, earlier)
         if encoded:
             self._active_at = self._front.now
             self._transport.write(b''.join(encoded))
@@ -155,25 +157,19 @@
             self._unsent_bytes = unsent_bytes
             self._active_at = self._front.now
 
-    def _log_waits(self, due):
-        """Log responses that waited long for the one written before them."""
-        for earlier, exchange in itertools.pairwise(due):
-            waited_ms = self._front.now - exchange.ready_at
-            if waited_ms >= LOGGED_WAIT_MS:
-                _log.info(
-                    'response-waited',
-                    request=exchange.head.get(wire.REQUEST_ID, ''),
-                    behind=earlier.head.get(wire.REQUEST_ID, ''),
-                    waited_ms=waited_ms,
-                    connection=self.number,
-                )
+    def _log_wait(self, event, exchange, earlier):
+        """Log how long a response waited for an earlier one."""
+        _log.info(
+            event,
+            request=exchange.head.get(wire.REQUEST_ID, ''),
+            behind=earlier.head.get(wire.REQUEST_ID, ''),
+            waited_ms=self._front.now - exchange.ready_at,
+            connection=self.number,
+        )
 
     def _parse(self):
+        """Parse what was read, and read ahead of the parser only a little."""
         self._reader.parse()
-        self._pause_at_bound()
-
-    def _pause_at_bound(self):
-        """Read ahead of the parser only a little."""
         if self._reader.unparsed_bytes > MAX_UNPARSED_BYTES:
             self._transport.pause_reading()
         else:
@@ -187,7 +183,10 @@
 
     def _abandon_all(self):
         """Post that the caller has left each open request."""
-        for exchange in self._exchanges.take_all():
-            if exchange.number is not None:
+        abandoned = self._exchanges.take_all()
+        for exchange in abandoned:
+            if exchange.response is not None:
+                self._log_wait('response-dropped', exchange, abandoned[0])
+            elif exchange.number is not None:
                 self._front.post_disconnect(exchange.number)
         self._reader.end()
--- a/laburnumlatch/platform/callerexchanges.py
+++ b/laburnumlatch/platform/callerexchanges.py
@@ -89,14 +89,12 @@
         return due
 
     def take_all(self):
-        """Remove all exchanges; return those that have no response."""
-        unanswered = []
-        for exchange in self._exchanges:
+        """Remove and return all exchanges."""
+        exchanges = tuple(self._exchanges)
+        for exchange in exchanges:
             self._free(exchange)
-            if exchange.response is None:
-                unanswered.append(exchange)
         self._exchanges.clear()
-        return unanswered
+        return exchanges
 
     def _free(self, exchange):
         self._count(exchange, -exchange.buffered_bytes)
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -52,10 +52,8 @@
         return self._front.now - self._head_since
 
     def add(self, chunk):
-        """Take what the caller sent, and parse it as far as allowed."""
-        if not self.is_ended:
-            self._read_ahead.append(chunk, self._front.now)
-            self.parse()
+        """Take what the caller sent; `parse` reads it."""
+        self._read_ahead.append(chunk, self._front.now)
 
     def parse(self):
         """Parse what was read as far as the bounds allow."""
