--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -51,7 +51,8 @@
     """Grant a range of keys to the backend server, or renew the grant.
 
     `start` and `end` are inclusive. The grant lasts for `hold_ms`. `handover`
-    is the token of the former owner's release, empty if there is none.
+    is the token of the former owner's release, empty if there is none. With
+    `is_renewal` the server has accepted the same grant before.
     """
 
     ticket: int
@@ -61,6 +62,7 @@
     fence: int
     hold_ms: int
     handover: str = ''
+    is_renewal: bool = False
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -275,6 +275,7 @@
             fence=holding.fence,
             hold_ms=hold_ms,
             handover=holding.handover,
+            is_renewal=holding.state == leaserows.HoldingState.HELD,
         )
     )
 
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -18,6 +18,8 @@
 # The expiry system cancels a request at its deadline; this margin makes sure
 # that it does so before the HTTP client times out.
 TIMEOUT_MARGIN_MS = 1000
+GRANT_PATH = '/grant'
+RELEASE_PATH = '/release'
 GRANT_TIMEOUT_MS = 600
 # The backend server responds to a release only once its running work has
 # ended.
@@ -122,15 +124,16 @@
         }
         if message.handover:
             body['handover'] = message.handover
-        self._call(
-            message,
-            '/grant',
-            body,
-            GRANT_TIMEOUT_MS,
-            self._finish_grant,
+        call = _build_call(
+            message, GRANT_PATH, body, GRANT_TIMEOUT_MS, self._finish_grant
         )
+        call.keeps_after_success = True
+        if message.is_renewal:
+            call.max_rest_ms = SAFE_REST_MS
+        self._pool.start(call)
 
     def _finish_grant(self, message, outcome):
+        _log_failure(GRANT_PATH, outcome)
         is_accepted = None
         if isinstance(outcome, servercall.ServerResponse):
             is_accepted = outcome.status == STATUS_OK
@@ -142,53 +145,55 @@
             'to': message.end,
             'fence': message.fence,
         }
-        self._call(
-            message,
-            '/release',
-            body,
-            RELEASE_TIMEOUT_MS,
-            self._finish_release,
+        self._pool.start(
+            _build_call(
+                message,
+                RELEASE_PATH,
+                body,
+                RELEASE_TIMEOUT_MS,
+                self._finish_release,
+            )
         )
 
     def _finish_release(self, message, outcome):
+        _log_failure(RELEASE_PATH, outcome)
         is_response = isinstance(outcome, servercall.ServerResponse)
         is_released = is_response and outcome.status == STATUS_OK
         handover = outcome.get(wire.HANDOVER, '') if is_released else ''
         self._post(backendmsg.TakenBack(message.ticket, is_released, handover))
 
-    def _call(self, message, path, body, timeout_ms, on_end):
-        """Send a grant or release, on a new connection.
 
-        Their responses have no request ID, and a backend server may send an
-        earlier response once more on a kept connection.
-        """
-        encoded = json.dumps(body).encode()
-        head = fields_module.encode_head(
-            f'POST {path} HTTP/1.1',
-            (
-                ('Host', message.address),
-                ('Content-Type', 'application/json'),
-                ('Content-Length', str(len(encoded))),
-                ('Connection', 'close'),
-            ),
-        )
-        self._pool.start(
-            servercall.ServerCall(
-                message.address,
-                'POST',
-                head,
-                encoded,
-                timeout_ms,
-                functools.partial(self._log_failure, message, path, on_end),
-            )
-        )
+def _build_call(message, path, body, timeout_ms, on_end):
+    """Return the call of a grant or release.
 
-    def _log_failure(self, message, path, on_end, outcome):
-        if isinstance(outcome, servercall.CallFailure):
-            _log.warning(
-                'backend-call-failed', call=path, detail=outcome.detail
-            )
-        on_end(message, outcome)
+    Their responses have no request ID, and a backend server may send an
+    earlier response once more on a kept connection. So they share none with
+    requests, and only a renewal goes to a kept one, behind accepted grants:
+    there a late copy looks like the acceptance that it most likely gets.
+    """
+    encoded = json.dumps(body).encode()
+    head = fields_module.encode_head(
+        f'POST {path} HTTP/1.1',
+        (
+            ('Host', message.address),
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(encoded))),
+        ),
+    )
+    return servercall.ServerCall(
+        message.address,
+        'POST',
+        head,
+        encoded,
+        timeout_ms,
+        functools.partial(on_end, message),
+        group=path,
+    )
+
+
+def _log_failure(path, outcome):
+    if isinstance(outcome, servercall.CallFailure):
+        _log.warning('backend-call-failed', call=path, detail=outcome.detail)
 
 
 def _max_rest_ms(message):
--- a/laburnumlatch/platform/servercall.py
+++ b/laburnumlatch/platform/servercall.py
@@ -43,7 +43,9 @@
     `head` and `body` are its bytes, `method` its method. A response with
     another request ID than `request_id` is that of another request.
 
-    A call goes to a kept connection that has rested at most `max_rest_ms`.
+    A call goes to a kept connection that has rested at most `max_rest_ms`, if
+    all calls on it were of the same `group`. With `keeps_after_success` its
+    own connection is kept only behind a success response.
     With `may_repeat` it is sent once more, on a new connection, if a kept one
     turns out to be closed. `on_end` is called once with a `ServerResponse` or
     a `CallFailure`, at the latest after `timeout_ms`. `was_sent` says that
@@ -58,6 +60,8 @@
     on_end: abc.Callable
     request_id: str = ''
     max_rest_ms: int = 0
+    group: str = ''
+    keeps_after_success: bool = False
     may_repeat: bool = False
     was_sent: bool = False
     is_done: bool = False
--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -9,6 +9,7 @@
 from laburnumlatch.platform import wire
 
 WRONG_REQUEST_ID = 'the response has the ID of another request'
+STATUS_OK = 200
 CLOSED = 'the connection closed before the end of the response'
 TOO_LARGE = 'no memory for the body of the response'
 # How long a connection may rest if the server does not say.
@@ -35,6 +36,7 @@
         self._transport = None
         self._parser = responseparser.ResponseParser(self)
         self._call = None
+        self._group = ''
         self._previous_id = ''
         self._calls_started = 0
         self._head = None
@@ -52,6 +54,7 @@
     def start(self, call):
         """Send a `ServerCall`; the previous one has ended."""
         self._call = call
+        self._group = call.group
         call.connection = self
         call.was_sent = True
         self._calls_started += 1
@@ -63,13 +66,14 @@
 
     def can_carry(self, call, now):
         """Return whether a resting connection may carry a call now."""
-        if self._transport.is_closing() or self.address != call.address:
+        if self._transport.is_closing():
+            return False
+        if (self.address, self._group) != (call.address, call.group):
+            return False
+        if call.request_id and call.request_id == self._previous_id:
             return False
         rested_ms = now - self.rests_since
-        return (
-            rested_ms <= min(call.max_rest_ms, self._keep_ms)
-            and call.request_id != self._previous_id
-        )
+        return rested_ms <= min(call.max_rest_ms, self._keep_ms)
 
     def data_received(self, data):
         """Parse a part of a response; called by asyncio."""
@@ -137,15 +141,23 @@
             self._is_skipping = False
         elif self._head is not None:
             head = self._head
-            # Otherwise the rest of the request would be due before the next.
-            is_sent = not self._transport.get_write_buffer_size()
+            is_reusable = self._is_reusable
             self._complete()
-            if head.keeps_alive and is_sent:
+            if is_reusable:
                 self._keep_ms = _keep_ms(head)
                 self._pool.keep(self)
             else:
                 self._transport.abort()
 
+    @property
+    def _is_reusable(self):
+        """Whether the connection may carry another call behind this one."""
+        if self._call.keeps_after_success and self._head.status != STATUS_OK:
+            return False
+        # The rest of a request that is not sent would be due before the next.
+        is_sent = not self._transport.get_write_buffer_size()
+        return self._head.keeps_alive and is_sent
+
     def _complete(self):
         call = self._call
         response = servercall.ServerResponse(
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from laburnumlatch.core import clock
+from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import backendclient
 from tests import addresses
@@ -15,6 +16,8 @@
 TIME_LEFT_MS = 1000
 SHORT_WAIT_S = 0.05
 LONG_BODY = b'x' * 8_000_000
+ACCEPTED = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+REJECTED = b'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'
 
 
 def sealed(request_id, *fields, body=b'body'):
@@ -48,7 +51,7 @@
         number = self._connections
         self._connections += 1
         with contextlib.suppress(ConnectionError):
-            while await self._read_head(reader):
+            while await self._read_request(reader):
                 self.seen.append(number)
                 response = self.script.pop(0)
                 if response is None:
@@ -58,9 +61,12 @@
                 await writer.drain()
         self.ended.append(number)
 
-    async def _read_head(self, reader):
+    async def _read_request(self, reader):
         try:
-            return await reader.readuntil(b'\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            if head.startswith(b'POST /grant'):
+                await reader.readuntil(b'}')
+            return head
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             return b''
 
@@ -89,6 +95,15 @@
             )
         )
 
+    async def grant(self, is_renewal=False):
+        """Send a grant; return the event that reports its end."""
+        self.client.carry_out(
+            backendmsg.GiveGrant(
+                1, self.server.address, 0, 15, 7, 1000, is_renewal=is_renewal
+            )
+        )
+        return await asyncio.wait_for(self.events.get(), 3)
+
     async def send(self, request_id, **parameters):
         """Send a request; return the event that reports its end."""
         self.start(request_id, **parameters)
@@ -155,6 +170,53 @@
             assert exchanges.server.seen == [0, 1]
 
 
+class TestGrants:
+    """Connections of grants, whose responses have no request ID."""
+
+    async def test_renewal_uses_a_kept_connection(self):
+        """Guards against a new connection for every renewal."""
+        async with talking(ACCEPTED, ACCEPTED, ACCEPTED) as exchanges:
+            await exchanges.grant()
+            await exchanges.grant(is_renewal=True)
+            await exchanges.grant(is_renewal=True)
+            assert exchanges.server.seen == [0, 0, 0]
+
+    @pytest.mark.parametrize(
+        ('response', 'is_renewal'), [(ACCEPTED, False), (REJECTED, True)]
+    )
+    async def test_copy_cannot_stand_for_another_outcome(
+        self, response, is_renewal
+    ):
+        """Guards against a late copy taken for the response to a grant.
+
+        A first grant must not seem accepted, nor a renewal rejected.
+        """
+        async with talking(response, ACCEPTED) as exchanges:
+            await exchanges.grant()
+            await exchanges.grant(is_renewal=is_renewal)
+            assert exchanges.server.seen == [0, 1]
+
+    async def test_requests_do_not_share_them(self):
+        """Guards against a request that gets the response to a grant."""
+        async with talking(ACCEPTED, sealed('a'), ACCEPTED) as exchanges:
+            await exchanges.grant()
+            await exchanges.send('a')
+            await exchanges.grant(is_renewal=True)
+            assert exchanges.server.seen == [0, 1, 0]
+
+    async def test_renewal_is_not_sent_again(self):
+        """Guards against a grant that lasts longer than its sender knows.
+
+        The duration of a grant is counted from when it was sent first.
+        """
+        async with talking(ACCEPTED, None, ACCEPTED) as exchanges:
+            await exchanges.grant()
+            event = await exchanges.grant(is_renewal=True)
+            await asyncio.sleep(SHORT_WAIT_S)
+            assert event.is_accepted is None
+            assert exchanges.server.seen == [0, 0]
+
+
 class TestClosedConnections:
     """A kept connection that the server closes as a request comes."""
 
