--- a/laburnumlatch/core/clock.py
+++ b/laburnumlatch/core/clock.py
@@ -43,6 +43,24 @@
         return time.time_ns() // NS_PER_MS
 
 
+class SteadyWallClock(Clock):
+    """The time of day as it was at the start, moved on by a steady clock.
+
+    Unlike the wall clock it never jumps, so its times keep their order.
+    """
+
+    def __init__(self, wall_clock=None, steady_clock=None):
+        """Read the time of day once; both clocks are `Clock`s."""
+        self._steady_clock = steady_clock or BoottimeClock()
+        self._offset_ms = (
+            wall_clock or WallClock()
+        ).now() - self._steady_clock.now()
+
+    def now(self):
+        """Return Unix time in milliseconds."""
+        return self._steady_clock.now() + self._offset_ms
+
+
 class ManualClock(Clock):
     """A clock that moves only by `advance`, for tests and workloads."""
 
--- a/laburnumlatch/core/logs.py
+++ b/laburnumlatch/core/logs.py
@@ -66,14 +66,15 @@
 class StructuredHandler(logbook.Handler):
     """Formats log records and writes them within the limits of their part."""
 
-    def __init__(self, sink, level, time_source):
+    def __init__(self, sink, level, time_source, wall_clock):
         """Write records of `level` and above to `sink`.
 
         `sink` is a `linesink.LineSink`. `time_source`, a `clock.Clock`, is
-        used for the rate limits.
+        used for the rate limits, `wall_clock` for the times of lines.
         """
         super().__init__(level=logbook.lookup_level(level.upper()))
         self._sink = sink
+        self._wall_clock = wall_clock
         self._limiter = linebound.LineLimiter(time_source)
 
     @property
@@ -92,7 +93,7 @@
         )
         if left_out is None:
             return
-        prefix = _line_prefix(record)
+        prefix = _line_prefix(record, self._wall_clock.now())
         if left_out:
             self._sink.write(f'{prefix} lines-left-out lines={left_out}')
         self._sink.write(f'{prefix} {record.message}')
@@ -114,18 +115,22 @@
     Returns the `StructuredHandler`.
     """
     sink = linesink.LineSink((stream or sys.stdout).fileno())
-    handler = StructuredHandler(sink, level, clock.MonotonicClock())
+    handler = StructuredHandler(
+        sink, level, clock.MonotonicClock(), clock.SteadyWallClock()
+    )
     handler.push_application()
     return handler
 
 
-def _line_prefix(record):
-    """Return time, level and part of a record."""
-    event_time = record.time
-    ago_ms = record.extra[AGO_EXTRA]
-    if ago_ms:
-        event_time -= datetime.timedelta(milliseconds=ago_ms)
-    time_text = event_time.isoformat(timespec='milliseconds')
+def _line_prefix(record, now):
+    """Return time, level and part of a record, written at `now` (Unix ms)."""
+    written_ms = now - record.extra[AGO_EXTRA]
+    written_at = datetime.datetime.fromtimestamp(
+        written_ms / clock.MS_PER_S, datetime.UTC
+    )
+    time_text = written_at.replace(tzinfo=None).isoformat(
+        timespec='milliseconds'
+    )
     level = record.level_name.lower()
     return f'{time_text}Z {level} {record.channel}'
 
--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -53,7 +53,7 @@
     def restart(self):
         """Start a new life without any grants."""
         self.is_up = True
-        self.life = ranges.Life(f's-{self.host_id}', self.fleet.now)
+        self.life = ranges.Life(f's-{self.host_id}', self.fleet.time_of_day)
         self.ledger = grantledger.Ledger()
         self.running = {}
         self.sequence = 0
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -44,6 +44,8 @@
     Each KB of a request body occupies the link of the receiving host for
     `link_ms_per_kb`. Messages to the agents of `paused` hosts are queued.
     The next `plans_to_lose` messages with plans or plan changes are lost.
+    The time of day, by which new lives of backend servers are dated, is
+    `wall_offset_ms` ahead of the clock of the agents.
 
     `violations` lists breaches of the one-owner rule, `early_grants` keys that
     were granted while another server still worked on them, and
@@ -73,6 +75,7 @@
         self.stopped_at = {}
         self.interrupted_requests = []
         self.plans_to_lose = 0
+        self.wall_offset_ms = 0
         self.sent_plans = []
         self.link_ms_per_kb = 0
         self.outcomes = {}
@@ -90,6 +93,11 @@
             self.domains[host_id] = domain
             self._add_host(host_id, service)
 
+    @property
+    def time_of_day(self):
+        """Unix time in ms, which may jump."""
+        return self.now + self.wall_offset_ms
+
     def start(self, host_id):
         """Start or restart the agent of a host with empty state."""
         backend = self.backends[host_id]
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -30,7 +30,8 @@
 class BackendLeft:
     """The backend server with this identity announced that it is leaving.
 
-    `announced_at` is in ms of Unix time, like the start of a life.
+    `announced_at` is in ms of Unix time, like the start of a life, by a clock
+    that follows no jump of the time of day.
     """
 
     call_number: int
--- a/laburnumlatch/mesh/ownserver.py
+++ b/laburnumlatch/mesh/ownserver.py
@@ -12,6 +12,9 @@
 # The agent stops sending this long before the drain time ends, so that requests
 # in transit to a leaving backend server reach it in time.
 DRAIN_MARGIN_MS = 400
+# A backend server that has not announced itself for this time, several times
+# the usual interval, may have ended without notice.
+SILENT_MS = 4000
 # Number of leaving backend servers whose identities are kept.
 MAX_DEPARTURES = 20
 
@@ -90,7 +93,7 @@
         )
         return False
     backend = agent.backend
-    if backend is not None and announcement.life.born < backend.life.born:
+    if backend is not None and _is_outdated(backend, announcement, now):
         return True
     if backend is None or backend.life != announcement.life:
         _start_life(agent, announcement, now)
@@ -105,6 +108,16 @@
     return True
 
 
+def _is_outdated(backend, announcement, now):
+    """Return whether an announcement is a late one of an earlier life.
+
+    The time of day may have jumped back between two lives. So a life with an
+    earlier start replaces one that has stopped announcing itself.
+    """
+    is_earlier = announcement.life.born < backend.life.born
+    return is_earlier and now < backend.last_announced + SILENT_MS
+
+
 def _start_life(agent, announcement, now):
     """Replace the backend server by the announced run of it."""
     running = 0 if agent.backend is None else agent.backend.running
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -129,7 +129,7 @@
         super().__init__(post)
         self._agent = agent
         self._count_left_out = count_left_out
-        self._wall_clock = clock.WallClock()
+        self._wall_clock = clock.SteadyWallClock()
         self._pending_calls = {}
         self._last_number = 0
         self._servers = []
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -27,6 +27,7 @@
 
 SEED_BITS = 48
 FILE_CHECK_INTERVAL_S = 2
+LOGGED_JUMP_MS = 200
 
 _log = logs.logger('agent')
 
@@ -53,6 +54,8 @@
         )
         self._front_ends = self._build_front_ends(time_source, log_handler)
         self._engine.register_front_ends(self._front_ends)
+        self._steady_wall_clock = clock.SteadyWallClock()
+        self._wall_offset_ms = 0
         self._stopped = asyncio.Event()
         self._path = path
         self._file_changed_at = bootfile.changed_at(path)
@@ -70,6 +73,7 @@
         _log.info('started', host=settings.host_id, service=settings.service)
         self._engine.wake()
         self._check_file()
+        self._check_time_of_day()
         await self._stopped.wait()
         _log.info('stopped', host=settings.host_id)
         for front_end in self._front_ends:
@@ -124,6 +128,18 @@
             FILE_CHECK_INTERVAL_S, self._check_file
         )
 
+    def _check_time_of_day(self):
+        """Log a jump of the time of day, which nothing else here follows."""
+        offset_ms = clock.WallClock().now() - self._steady_wall_clock.now()
+        if abs(offset_ms - self._wall_offset_ms) >= LOGGED_JUMP_MS:
+            _log.notice(
+                'time-of-day-jumped', by_ms=offset_ms - self._wall_offset_ms
+            )
+            self._wall_offset_ms = offset_ms
+        asyncio.get_running_loop().call_later(
+            FILE_CHECK_INTERVAL_S, self._check_time_of_day
+        )
+
     def _on_stopped(self, _message):
         self._stopped.set()
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -36,10 +36,13 @@
         """Do nothing: `write` has already stored each line."""
 
 
-def new_handler(sink, time_source=None):
+def new_handler(sink, time_source=None, wall_clock=None):
     """Return a log handler that writes to `sink`."""
     return logs.StructuredHandler(
-        sink, 'info', time_source or clock.ManualClock()
+        sink,
+        'info',
+        time_source or clock.ManualClock(),
+        wall_clock or clock.WallClock(),
     )
 
 
--- a/tests/test_mesh_announcements.py
+++ b/tests/test_mesh_announcements.py
@@ -1,11 +1,18 @@
 """Announcements of a backend server, in the order in which they are sent."""
 
 import attrs
+import pytest
 
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ownserver
 from laburnumlatch.mesh import ranges
 
+KEY_COUNT = 65_536
+# Until a life that has ended is given up, and its grants have ended.
+SILENT_AND_LEASE_MS = ownserver.SILENT_MS + 8000
+
 
 def backend_after(messages_from):
     """Return the backend server that an agent knows after one tick.
@@ -127,3 +134,59 @@
         restarted_backend = fleet.agents['m0'].backend
         assert restarted_backend.closing_at <= fleet.now
         assert fleet.agents['b0'].hosts.get('m0').record.state == 'draining'
+
+
+class TestTimeOfDay:
+    """Backend servers that start after the time of day has jumped back."""
+
+    def restarted_earlier(self, is_lost):
+        """Return a deployment whose server restarts with an earlier start."""
+        fleet = fleetsim.deployment()
+        backend = fleet.backends['m0']
+        backend.is_up = not is_lost
+        earlier = ranges.Life('m0-restarted', backend.life.born - 5000)
+        announcement = attrs.evolve(backend.announce(), life=earlier)
+        return fleet, announcement
+
+    def test_restarted_server_is_in_use_again(self):
+        """Guards against a server that is ignored until its clock catches up.
+
+        It announces itself once a second, and the former life no more.
+        """
+        fleet, announcement = self.restarted_earlier(is_lost=True)
+        for sequence in range(1, 8):
+            fleet.post('m0', attrs.evolve(announcement, sequence=sequence))
+            fleet.run(1000)
+        assert fleet.agents['m0'].backend.life == announcement.life
+
+    @pytest.mark.parametrize('jump_ms', [20_000, -20_000])
+    def test_deployment_serves_all_keys_after_a_jump(self, jump_ms):
+        """Guards against keys that nobody serves after a jump and a restart.
+
+        The time of day jumps on all hosts, and all servers start again.
+        """
+        fleet = fleetsim.deployment()
+        fleet.wall_offset_ms = jump_ms
+        for backend in fleet.backends.values():
+            backend.restart()
+        fleet.run(SILENT_AND_LEASE_MS)
+        numbers = [
+            fleet.call('m0', '/look/', key=key)
+            for key in range(0, KEY_COUNT, KEY_COUNT // 20)
+        ]
+        fleet.run(1000)
+        assert fleet.owned_key_count() == KEY_COUNT
+        assert not fleet.violations
+        assert all(
+            isinstance(fleet.outcomes[number], messages.Deliver)
+            for number in numbers
+        )
+
+    def test_late_announcement_of_a_former_life_is_ignored(self):
+        """Guards against taking a lost life for the one that announces."""
+        fleet, announcement = self.restarted_earlier(is_lost=False)
+        current = fleet.agents['m0'].backend.life
+        for sequence in range(1, 8):
+            fleet.post('m0', attrs.evolve(announcement, sequence=sequence))
+            fleet.run(1000)
+            assert fleet.agents['m0'].backend.life == current
