--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import pipelining
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 
@@ -58,7 +59,9 @@
     if not is_divided and has_untried_host(agent, request, now):
         place(agent, request, now)
         return
-    requests.refuse(agent, request, rejection.reason, rejection.retry_after_ms)
+    pipelining.refuse_in_turn(
+        agent, request, rejection.reason, rejection.retry_after_ms
+    )
 
 
 def _place_forwarded(agent, request, now):
