--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -55,7 +55,8 @@
     def rank(self, request):
         """Rank urgent requests first, then those whose target is nearest."""
         ratio = NESTED_TARGET_RATIO if request.is_nested else 1
-        return request.priority, request.arrived_at + ratio * request.target_ms
+        due = request.arrived_at + ratio * request.queue_target_ms
+        return request.priority, due
 
     def max_wait_ms(self, request, slack_ms):
         """Return a share of the target, at most the slack."""
@@ -65,7 +66,7 @@
             ratio = SAFE_MAX_WAIT_RATIO
         else:
             ratio = ONCE_MAX_WAIT_RATIO
-        return min(slack_ms, ratio * request.target_ms)
+        return min(slack_ms, ratio * request.queue_target_ms)
 
     def retry_after_ms(self, wait_ms):
         """Return the share of the wait after which others have started."""
