--- a/laburnumlatch/mesh/pipelining.py
+++ b/laburnumlatch/mesh/pipelining.py
@@ -64,7 +64,7 @@
 
     The caller would receive the refusal only behind the responses to earlier
     requests of the connection. Until then the request is placed again after
-    each `retry_after_ms`. It yields to others, which may still be in time.
+    each `retry_after_ms`.
     """
     due = agent.now + max(MIN_PAUSE_MS, int(retry_after_ms))
     if (
@@ -75,7 +75,6 @@
     ):
         requests.free_capacity(agent, request)
         request.tried_hosts.clear()
-        request.yields = True
         decisions.record(agent, request, 'waits-in-order', reason=reason)
         requests.schedule_placement(agent, request, due)
         agent.wake_at(due)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -167,7 +167,7 @@
         kind=request.kind,
         priority=request.priority,
         time_left_ms=request.deadline - now,
-        target_ms=request.queue_target_ms,
+        target_ms=request.target_ms,
         route=request.route,
         plan_version=request.plan_version,
         is_nested=request.is_nested,
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -194,8 +194,7 @@
     Times are in ms of the agent's clock. `caller_deadline` is when the caller
     stops waiting; `deadline` is earlier if the route has a shorter timeout.
     `target_ms` is the time from `arrived_at` within which the response should
-    come. A request that `yields` has missed its chance of that and competes
-    only for a response before its deadline. `plan_version` is the version of the plan by which the host was
+    come. `plan_version` is the version of the plan by which the host was
     chosen, 0 if there was none.
 
     An exchange is one attempt to send the request to the local backend server
@@ -246,7 +245,6 @@
     times_parked: int = 0
     tried_hosts: list[str] = attrs.Factory(list)
     last_reason: messages.Reason = messages.Reason.NO_HOST
-    yields: bool = False
     is_detached: bool = False
     may_have_run: bool = False
     plan_version: int = 0
@@ -262,13 +260,6 @@
         """Whether the request may run more than once."""
         return self.kind == routes.Kind.SAFE
 
-    @property
-    def queue_target_ms(self):
-        """Time from `arrived_at` within which queues should serve it, in ms."""
-        if self.yields:
-            return self.deadline - self.arrived_at
-        return self.target_ms
-
     @property
     def is_retry(self):
         """Whether an earlier exchange of this request may have begun work.
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -55,8 +55,7 @@
     def rank(self, request):
         """Rank urgent requests first, then those whose target is nearest."""
         ratio = NESTED_TARGET_RATIO if request.is_nested else 1
-        due = request.arrived_at + ratio * request.queue_target_ms
-        return request.priority, due
+        return request.priority, request.arrived_at + ratio * request.target_ms
 
     def max_wait_ms(self, request, slack_ms):
         """Return a share of the target, at most the slack."""
@@ -66,7 +65,7 @@
             ratio = SAFE_MAX_WAIT_RATIO
         else:
             ratio = ONCE_MAX_WAIT_RATIO
-        return min(slack_ms, ratio * request.queue_target_ms)
+        return min(slack_ms, ratio * request.target_ms)
 
     def retry_after_ms(self, wait_ms):
         """Return the share of the wait after which others have started."""
