--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -8,7 +8,6 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import pipelining
 from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import retrybudget
@@ -240,9 +239,7 @@
     elif _may_place_elsewhere(agent, request, failure, now):
         placement.place(agent, request, now)
     else:
-        pipelining.refuse_in_turn(
-            agent, request, failure.reason, retry_after_ms
-        )
+        requests.refuse(agent, request, failure.reason, retry_after_ms)
 
 
 def _may_place_elsewhere(agent, request, failure, now):
--- a/laburnumlatch/mesh/pipelining.py
+++ b/laburnumlatch/mesh/pipelining.py
@@ -9,18 +9,9 @@
 """
 
 from laburnumlatch.mesh import decisions
-from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 
-# Reasons that may no longer hold a little later.
-_PASSING_REASONS = frozenset((
-    messages.Reason.NO_ROOM,
-    messages.Reason.CALLS_FAIL,
-    messages.Reason.SERVER_DOWN,
-))
-MIN_PAUSE_MS = 50
-
 
 def run(agent, now):
     """Let `placement` choose a host for held requests that may start."""
@@ -59,36 +50,6 @@
     return True
 
 
-def refuse_in_turn(agent, request, reason, retry_after_ms):
-    """Refuse a request that no backend server has got, unless it can wait.
-
-    The caller would receive the refusal only behind the responses to earlier
-    requests of the connection. Until then the request is placed again after
-    each `retry_after_ms`.
-    """
-    due = agent.now + max(MIN_PAUSE_MS, int(retry_after_ms))
-    if (
-        _is_behind_another(agent, request)
-        and reason in _PASSING_REASONS
-        and not request.backend_sends
-        and due < request.deadline
-    ):
-        requests.free_capacity(agent, request)
-        request.tried_hosts.clear()
-        decisions.record(agent, request, 'waits-in-order', reason=reason)
-        requests.schedule_placement(agent, request, due)
-        agent.wake_at(due)
-        return
-    requests.refuse(agent, request, reason, retry_after_ms)
-
-
-def _is_behind_another(agent, request):
-    connection = agent.connections.get(request.connection)
-    if connection is None:
-        return False
-    return connection.open_numbers[0] != request.number
-
-
 def _is_blocked(agent, request):
     """Return whether an earlier request of the connection must end first."""
     connection = agent.connections.get(request.connection)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -8,7 +8,6 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import pipelining
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 
@@ -59,9 +58,7 @@
     if not is_divided and has_untried_host(agent, request, now):
         place(agent, request, now)
         return
-    pipelining.refuse_in_turn(
-        agent, request, rejection.reason, rejection.retry_after_ms
-    )
+    requests.refuse(agent, request, rejection.reason, rejection.retry_after_ms)
 
 
 def _place_forwarded(agent, request, now):
