--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -22,7 +22,8 @@
     `clock_ratio` is the speed of the server's clock, by which it measures
     the hold time of grants. Faults are counted down: the next
     `silent_connections` requests on reused connections get no response, and
-    the next `lost_answers` responses are lost after the work was done.
+    the next `lost_answers` responses are lost after the work was done. The next
+    `sheds` requests are refused as not run.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -39,6 +40,7 @@
         self.nested_calls = 0
         self.silent_connections = 0
         self.lost_answers = 0
+        self.sheds = 0
         self.is_up = True
         self.life = ranges.Life(f's-{host_id}', fleet.now)
         self.ledger = grantledger.Ledger()
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -149,6 +149,12 @@
                 host_id, send, messages.Phase.REFUSED, messages.Reason.NOT_OWNER
             )
             return
+        if backend.sheds:
+            backend.sheds -= 1
+            self._fail(
+                host_id, send, messages.Phase.REFUSED, messages.Reason.SHED
+            )
+            return
         if backend.silent_connections and not send.fresh_connection:
             backend.silent_connections -= 1
             return
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -31,6 +31,10 @@
 UNREACHABLE_RETRY_AFTER_MS = 600
 # A request with less time left than this is not retried.
 MIN_RETRY_TIME_MS = 120
+# A backend server that refuses a request may have room after this time.
+SHED_PAUSE_MS = 100
+# A request that its server refuses is sent to the same server at most so often.
+MAX_SENDS_TO_OWNER = 2
 # Weight of one response in the moving average share of failures of a host.
 FAILURE_WEIGHT = 0.1
 # Weight of one response in the moving average round trip to a host.
@@ -238,10 +242,36 @@
         requests.park(agent, request, failure.reason)
     elif _may_place_elsewhere(agent, request, failure, now):
         placement.place(agent, request, now)
+    elif _may_send_to_owner_again(agent, request, failure, now):
+        _send_to_owner_again(agent, request, now)
     else:
         requests.refuse(agent, request, failure.reason, retry_after_ms)
 
 
+def _may_send_to_owner_again(agent, request, failure, now):
+    """Return whether the owner of a key may get a request that it refused.
+
+    No other server can run the request, and this one may refuse only some.
+    """
+    is_shed = failure.reason == messages.Reason.SHED
+    if not is_shed or request.backend_sends >= MAX_SENDS_TO_OWNER:
+        return False
+    time_left_ms = request.deadline - now - SHED_PAUSE_MS
+    return (
+        agent.is_divided(request.service)
+        and time_left_ms > MIN_RETRY_TIME_MS
+        and retrybudget.spend_retry(agent, request.service, now)
+    )
+
+
+def _send_to_owner_again(agent, request, now):
+    due = now + SHED_PAUSE_MS
+    counting.count(agent, 'requests_repeated', service=request.service)
+    decisions.record(agent, request, 'repeated', tried=request.backend_sends)
+    requests.schedule_placement(agent, request, due)
+    agent.wake_at(due)
+
+
 def _may_place_elsewhere(agent, request, failure, now):
     """Return whether another host may get the request.
 
--- a/tests/test_mesh_outcomes.py
+++ b/tests/test_mesh_outcomes.py
@@ -2,10 +2,13 @@
 
 import collections
 
+import pytest
+
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import agentstate
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import outcomes
 from laburnumlatch.mesh import settings
 from laburnumlatch.mesh import ticks
 
@@ -44,6 +47,47 @@
         assert most == fleetbackend.SLOTS
 
 
+class TestSheddingServer:
+    """A server, the owner of a key, that refuses some requests as not run."""
+
+    @pytest.mark.parametrize('path', ['/look/', '/book/'])
+    def test_request_is_sent_to_the_owner_again(self, path):
+        """Guards against failing callers while the server runs most requests.
+
+        No other server may run a request with this key.
+        """
+        fleet = fleetsim.deployment()
+        fleet.backends['b0'].sheds = 1
+        number = fleet.call('m0', path, key_of_b0(fleet), TIME_MS)
+        fleet.run(TIME_MS)
+        assert isinstance(fleet.outcomes[number], messages.Deliver)
+        assert runs_of(fleet)[f'r{number}'] == 1
+
+    def test_request_that_is_refused_again_has_not_run(self):
+        """Guards against sending a request until its deadline."""
+        fleet = fleetsim.deployment()
+        fleet.backends['b0'].sheds = 10
+        number = fleet.call('m0', '/book/', key_of_b0(fleet), TIME_MS)
+        fleet.run(TIME_MS)
+        assert fleet.outcomes[number].verdict == messages.Verdict.NOT_RUN
+        assert fleet.backends['b0'].sheds == 10 - outcomes.MAX_SENDS_TO_OWNER
+        assert not runs_of(fleet)[f'r{number}']
+
+    def test_repeats_stay_within_the_budget(self):
+        """Guards against doubling the load of a server that refuses all."""
+        fleet = fleetsim.deployment(divided=1, others=1)
+        backend = fleet.backends['b0']
+        backend.sheds = 10 * BURST
+        for _ in range(2 * BURST):
+            fleet.call('m0', '/look/', 7)
+            fleet.run(20)
+        fleet.run(TIME_MS)
+        bounds = settings.Bounds()
+        arrivals = 10 * BURST - backend.sheds
+        allowed = bounds.retry_ratio * 2 * BURST + bounds.retry_extra
+        assert 2 * BURST < arrivals <= 2 * BURST + allowed
+
+
 class TestLostAnswers:
     """A request whose response was lost may have run.
 
