--- a/standins/callers.py
+++ b/standins/callers.py
@@ -11,12 +11,15 @@
 from laburnumlatch.core import clock
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import wire
+from standins import pipelines
 
 MAX_CLIENTS = 400
 CONNECT_TIMEOUT_S = 1
 # Added to the deadline, so that the response to an expired request arrives.
 DEADLINE_MARGIN_S = 1
 THINK_TIME_S = 0.02
+# Requests that a pipelining caller sends at once.
+BURST_SIZE = 4
 KEY_COUNT = 40
 KEY_STEP = 1601
 REQUEST_ID_BITS = 64
@@ -137,23 +140,55 @@
         self.records.append(record)
         return record
 
+    async def run_pipelining_worker(self, workload):
+        """Send bursts of pipelined requests until `is_stopping` is set."""
+        while not self.is_stopping:
+            keys = [self.random_key(workload) for _ in range(BURST_SIZE)]
+            await self.call_pipelined([(workload, key) for key in keys])
+            await asyncio.sleep(THINK_TIME_S)
+
+    async def call_pipelined(self, calls, address=''):
+        """Send requests on one connection at once; return their `Record`s.
+
+        `calls` are pairs of workload and key. They go to a random agent
+        unless an `address` is given.
+        """
+        sent = [
+            (workload, key, f'{self.rng.getrandbits(REQUEST_ID_BITS):016x}')
+            for workload, key in calls
+        ]
+        started_at_ms = self.time_source.now()
+        responses = await pipelines.exchange(
+            address or self.rng.choice(self.addresses),
+            [_encode(*request) for request in sent],
+            max(_timeout_s(workload) for workload, _key in calls),
+        )
+        records = [
+            Record(
+                request_id,
+                workload,
+                key,
+                started_at_ms,
+                self.time_source.now(),
+                outcome_of(response),
+                **_response_fields(response),
+            )
+            for (workload, key, request_id), response in zip(
+                sent, responses, strict=True
+            )
+        ]
+        self.records.extend(records)
+        return records
+
     async def _fetch(self, workload, key, address, request_id):
         """Return the response, or None if the connection failed."""
-        timeout_ms = workload.route.timeout_ms
-        headers = {
-            'Host': workload.route.host,
-            wire.REQUEST_ID: request_id,
-            wire.TIME_LEFT_MS: str(timeout_ms),
-        }
-        if key is not None:
-            headers[wire.KEY] = str(key)
         request = httpclient.HTTPRequest(
-            f'http://{address}{workload.route.prefix}x',
+            f'http://{address}{_path(workload)}',
             method=workload.method,
-            headers=headers,
+            headers=_headers(workload, key, request_id),
             body=workload.body if workload.method == 'POST' else None,
             connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=timeout_ms / clock.MS_PER_S + DEADLINE_MARGIN_S,
+            request_timeout=_timeout_s(workload),
         )
         try:
             return await self.client.fetch(request, raise_error=False)
@@ -161,6 +196,35 @@
             return None
 
 
+def _path(workload):
+    return f'{workload.route.prefix}x'
+
+
+def _timeout_s(workload):
+    return workload.route.timeout_ms / clock.MS_PER_S + DEADLINE_MARGIN_S
+
+
+def _headers(workload, key, request_id):
+    headers = {
+        'Host': workload.route.host,
+        wire.REQUEST_ID: request_id,
+        wire.TIME_LEFT_MS: str(workload.route.timeout_ms),
+    }
+    if key is not None:
+        headers[wire.KEY] = str(key)
+    return headers
+
+
+def _encode(workload, key, request_id):
+    """Return the bytes of a request."""
+    return pipelines.encode(
+        workload.method,
+        _path(workload),
+        _headers(workload, key, request_id),
+        workload.body if workload.method == 'POST' else b'',
+    )
+
+
 def outcome_of(response):
     """Return the `Outcome` of a response; None means that none came."""
     if response is None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -13,6 +13,7 @@
 import attrs
 
 from laburnumlatch.core import clock
+from laburnumlatch.mesh import routes
 from laburnumlatch.operators import report as reports
 from laburnumlatch.operators import state
 from laburnumlatch.platform import configrowcodec
@@ -89,6 +90,11 @@
             for workload in self.region.workloads()
             for _ in range(workload.workers)
         ]
+        tasks += [
+            asyncio.ensure_future(self.callers.run_pipelining_worker(workload))
+            for workload in self.region.workloads()
+            if workload.route.kind == routes.Kind.SAFE
+        ]
         try:
             yield
             self.callers.is_stopping = True
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -11,6 +11,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 
 import attrs
@@ -32,6 +33,7 @@
 # The last octet of the store's address; the octets of hosts count from 1.
 STORE_OCTET = 250
 STORE_PORT = 18_142
+RESERVATION_PORT = 18_141
 CALLER_PORT = 8147
 READY_PORT = 8141
 CONTROL_PORT = 8144
@@ -40,8 +42,7 @@
 METRICS_PORT = 9464
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 10
-# Choices for the second and third octet of loopback addresses: random, so that
-# deployments that run at the same time use different addresses.
+# Choices for the second and third octet of loopback addresses.
 NETWORK_OCTETS = range(10, 100)
 
 
@@ -112,11 +113,12 @@
     run from the sources, or from the one-file program at the path `binary`.
     """
 
-    def __init__(self, folder, specs, proxied=()):
+    def __init__(self, folder, specs, proxied=(), rng=None):
         """Prepare a deployment of the hosts in `specs`, which are `HostSpec`s.
 
         Settings files and logs are written to `folder`. A proxy stands in
-        front of the backend servers of the host IDs in `proxied`.
+        front of the backend servers of the host IDs in `proxied`. `rng` is a
+        `random.Random` that chooses the network.
         """
         self._folder = pathlib.Path(folder)
         self.binary = ''
@@ -124,9 +126,9 @@
         self._backend_servers = {}
         self._tasks = []
         self._proxy_servers = []
-        self._rng = random.Random()
-        octets = [self._rng.choice(NETWORK_OCTETS) for _ in range(2)]
-        self._network = '.'.join(('127', *map(str, octets)))
+        network, reservation = _reserve_network(rng or random.Random())
+        self._network = network
+        self._reservation = reservation
         self.store = stores.Store()
         self.violations = []
         self.hosts = {}
@@ -240,6 +242,7 @@
         for server in (*self._store_servers, *self._backend_servers.values()):
             server.stop()
             await server.close_all_connections()
+        self._reservation.close()
 
     async def kill_backend(self, host_id):
         """Stop a backend server at once and close all its connections."""
@@ -306,6 +309,24 @@
         )
 
 
+def _reserve_network(rng):
+    """Return the start of the addresses of a network, and its reservation.
+
+    The reservation is a bound socket. While it is open, no other deployment
+    on this machine gets the same network.
+    """
+    while True:
+        octets = [rng.choice(NETWORK_OCTETS) for _ in range(2)]
+        network = '.'.join(('127', *map(str, octets)))
+        reservation = socket.socket()
+        try:
+            reservation.bind((f'{network}.{STORE_OCTET}', RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return network, reservation
+
+
 def _listen(server, address):
     ip_text, port = address.split(':')
     server.add_sockets(netutil.bind_sockets(int(port), ip_text))
--- a/tests/lab.py
+++ b/tests/lab.py
@@ -19,6 +19,7 @@
 PHOTO_UPLOAD = regions.REYKJAVIK.workload('quilt-photo')
 ANSWERED = callers.Outcome.ANSWERED
 NOT_RUN = callers.Outcome.NOT_RUN
+CLOSED = callers.Outcome.CLOSED
 READY_TIMEOUT_S = 15
 KEY_COUNT = 65_536
 MIDDLE_KEY = KEY_COUNT // 2
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import pytest
 from tornado import netutil
@@ -9,6 +10,7 @@
 from laburnumlatch.experiments import grantledger
 from standins import backend
 from standins import costs
+from standins import deployment
 from standins import proxy
 from standins.platform import backendapi
 
@@ -266,3 +268,24 @@
         """Guards against fixed costs that are reported per request."""
         points = [(100, 1300), (200, 1600), (400, 2200)]
         assert costs.slope(points) == pytest.approx(3)
+
+
+class TestNetworks:
+    """Addresses of deployments that run at the same time."""
+
+    async def test_two_deployments_use_different_networks(self, tmp_path):
+        """Guards against a deployment that cannot bind its addresses.
+
+        Both choose from the same sequence of networks.
+        """
+        deployments = [
+            deployment.Deployment(tmp_path, [], rng=random.Random(1))
+            for _ in range(2)
+        ]
+        first, second = (one.store_address for one in deployments)
+        assert first != second
+        for one in deployments:
+            await one.stop()
+        third = deployment.Deployment(tmp_path, [], rng=random.Random(1))
+        assert third.store_address == first
+        await third.stop()
