--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -23,7 +23,8 @@
     the hold time of grants. Faults are counted down: the next
     `silent_connections` requests on reused connections get no response, and
     the next `lost_answers` responses are lost after the work was done. The next
-    `sheds` requests are refused as not run.
+    `sheds` requests are refused as not run, and the next `stale_connections`
+    on a kept connection find it closed.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -41,6 +42,7 @@
         self.silent_connections = 0
         self.lost_answers = 0
         self.sheds = 0
+        self.stale_connections = 0
         self.is_up = True
         self.life = ranges.Life(f's-{host_id}', fleet.now)
         self.ledger = grantledger.Ledger()
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -1,8 +1,10 @@
 """System: starts queued requests at the local backend server."""
 
 from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
 
 # A backend server that has failed gets one trial request in this time.
@@ -39,6 +41,21 @@
     send(agent, request, now)
 
 
+def may_send_again(agent, request, now):
+    """Return whether a running request may be sent once more, and count it.
+
+    By now this host may have to release the key, or the backend server may be
+    leaving.
+    """
+    is_closed = admission.is_closed(agent.backend, now)
+    if is_closed or not admission.may_start(agent, request, now):
+        return False
+    if not retrybudget.spend_retry(agent, request.service, now):
+        return False
+    counting.count(agent, 'requests_repeated', service=request.service)
+    return True
+
+
 def send(agent, request, now):
     """Send a request that occupies a slot to the local backend server.
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -175,7 +175,9 @@
     If another agent refused or ended the request, `verdict` and
     `retry_after_ms` are the outcome that it would report to a caller;
     otherwise `verdict` is None. `wait_ms` is the expected wait of a new
-    request in the queue there, None if unknown. `detail` is for log lines.
+    request in the queue there, None if unknown. `is_stale` says that a kept
+    connection closed before the first byte of a response. `detail` is for log
+    lines.
     """
 
     number: int
@@ -185,6 +187,7 @@
     verdict: Verdict | None = None
     retry_after_ms: int = 0
     wait_ms: int | None = None
+    is_stale: bool = False
     detail: str = ''
 
 
@@ -285,9 +288,10 @@
     """Send the request to the local backend server.
 
     `server_id` is the identity under which that server must answer. `is_safe`
-    says that the request may be sent once more if a kept connection turns out
-    to be closed. With `fresh_connection` it gets a new connection: on a kept
-    one, the response to an earlier exchange of it could be taken for its own.
+    says that the request may be sent again if its outcome is unknown, so it
+    may use a kept connection that the server could be about to close. With
+    `fresh_connection` it gets a new connection: on a kept one, the response
+    to an earlier exchange of it could be taken for its own.
     """
 
     number: int
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -7,6 +7,7 @@
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
+from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import requests
@@ -117,6 +118,8 @@
         verdict=failure.verdict,
         detail=failure.detail or None,
     )
+    if is_local and _send_again_if_stale(agent, request, failure, now):
+        return
     if _may_have_reached_server(failure):
         request.backend_sends += 1
     if not _has_not_run(failure):
@@ -133,6 +136,22 @@
         _retry_or_end(agent, request, failure, now)
 
 
+def _send_again_if_stale(agent, request, failure, now):
+    """Send a safe request again if the server had closed its connection.
+
+    It keeps its slot. The server has most likely closed the connection for
+    having rested, without reading the request.
+    """
+    is_stale = failure.is_stale and request.is_safe
+    if not is_stale or request.is_retry or request.is_detached:
+        return False
+    if not dispatch.may_send_again(agent, request, now):
+        return False
+    decisions.record(agent, request, 'connection-stale')
+    dispatch.send(agent, request, now)
+    return True
+
+
 def _may_have_reached_server(failure):
     """Return whether a backend server may have received the request."""
     if failure.reason == messages.Reason.SHED:
--- a/laburnumlatch/mesh/silence.py
+++ b/laburnumlatch/mesh/silence.py
@@ -6,12 +6,9 @@
 finishes at all; one safe request is then retried on a new connection.
 """
 
-from laburnumlatch.mesh import admission
-from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
-from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import worktimes
 
@@ -92,15 +89,8 @@
 
 def _retry(agent, request, now):
     """Cancel the exchange and send the request on a new connection."""
-    # By now this host may have to release the key, or the backend server may
-    # be leaving.
-    if not admission.may_start(agent, request, now):
+    if not dispatch.may_send_again(agent, request, now):
         return
-    if admission.is_closed(agent.backend, now):
-        return
-    if not retrybudget.spend_retry(agent, request.service, now):
-        return
-    counting.count(agent, 'requests_repeated', service=request.service)
     decisions.record(
         agent,
         request,
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -3,6 +3,8 @@
 import functools
 import json
 
+import attrs
+
 from laburnumlatch.core import clock
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
@@ -24,8 +26,8 @@
 # The backend server responds to a release only once its running work has
 # ended.
 RELEASE_TIMEOUT_MS = 6000
-# How long a kept connection may have rested before a safe request, which is
-# sent once more if the server has closed it, and before any other one, whose
+# How long a kept connection may have rested before a safe request, which may
+# be sent again if the server has closed it, and before any other one, whose
 # outcome is then unknown.
 SAFE_REST_MS = 60_000
 ONCE_REST_MS = 100
@@ -106,7 +108,6 @@
             functools.partial(self._finish_send, message),
             request_id=message.head.request_id,
             max_rest_ms=_max_rest_ms(message),
-            may_repeat=message.is_safe,
         )
         self._calls[message.number, message.exchange] = call
         self._pool.start(call)
@@ -228,7 +229,10 @@
         phase = (
             messages.Phase.SENT if outcome.is_sent else messages.Phase.UNSENT
         )
-        return _failure(message, phase, messages.Reason.BROKEN, outcome.detail)
+        return attrs.evolve(
+            _failure(message, phase, messages.Reason.BROKEN, outcome.detail),
+            is_stale=outcome.is_stale,
+        )
     refusal = _refusal_reason(outcome)
     if refusal is not None and _may_be_of_earlier_request(outcome):
         return _broken(message, MISSING_REQUEST_ID)
--- a/laburnumlatch/platform/callerexchanges.py
+++ b/laburnumlatch/platform/callerexchanges.py
@@ -36,9 +36,10 @@
         """Start empty.
 
         `count_buffered` is called with the number of bytes that are in memory
-        from now on; negative if they were freed.
+        from now on; negative if they were freed. `buffered_bytes` is their
+        sum in this queue.
         """
-        self.waiting_bytes = 0
+        self.buffered_bytes = 0
         self._count_buffered = count_buffered
         self._exchanges = collections.deque()
 
@@ -76,14 +77,12 @@
         exchange.response = response
         size = len(response.body)
         self._count(exchange, size - exchange.buffered_bytes)
-        self.waiting_bytes += size
 
     def take_due(self):
         """Remove and return the exchanges whose responses are in turn."""
         due = []
         while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
-            self.waiting_bytes -= len(exchange.response.body)
             self._free(exchange)
             due.append(exchange)
         return due
@@ -101,4 +100,5 @@
 
     def _count(self, exchange, more_bytes):
         exchange.buffered_bytes += more_bytes
+        self.buffered_bytes += more_bytes
         self._count_buffered(more_bytes)
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -6,10 +6,11 @@
 from laburnumlatch.platform import requestparser
 from laburnumlatch.platform import responsebytes
 
-# Bounds of one connection: requests that are read and not yet answered, and
-# bytes of responses that wait for an earlier one. Reading stops at them.
+# Bounds of one connection, at which reading stops: requests that are read and
+# not yet answered, and bytes of their bodies and of waiting responses. A
+# request that has begun is read to its end.
 MAX_PIPELINED = 32
-MAX_WAITING_BYTES = 1_000_000
+MAX_BUFFERED_BYTES = 1_000_000
 EXPECT_CONTINUE = '100-continue'
 
 # Stands for a head that could not be parsed.
@@ -143,7 +144,7 @@
             return False
         return not len(self._exchanges) or (
             len(self._exchanges) < MAX_PIPELINED
-            and self._exchanges.waiting_bytes <= MAX_WAITING_BYTES
+            and self._exchanges.buffered_bytes <= MAX_BUFFERED_BYTES
             and self._front.can_buffer(0)
         )
 
--- a/laburnumlatch/platform/serverpool.py
+++ b/laburnumlatch/platform/serverpool.py
@@ -60,12 +60,6 @@
         else:
             connection.start(call)
 
-    def repeat(self, call):
-        """Send a call once more, on a new connection."""
-        call.may_repeat = False
-        call.connection = None
-        self._connect(call)
-
     def cancel(self, call):
         """Close the connection of a call and report nothing."""
         if not call.is_done:
--- a/tests/test_mesh_outcomes.py
+++ b/tests/test_mesh_outcomes.py
@@ -88,6 +88,40 @@
         assert 2 * BURST < arrivals <= 2 * BURST + allowed
 
 
+class TestStaleConnections:
+    """A kept connection that the server has closed for having rested."""
+
+    def test_safe_request_is_sent_again(self):
+        """Guards against failing a caller for a connection that rested."""
+        fleet = fleetsim.deployment()
+        fleet.backends['b0'].stale_connections = 1
+        number = fleet.call('m0', '/look/', key_of_b0(fleet))
+        fleet.run(TIME_MS)
+        assert isinstance(fleet.outcomes[number], messages.Deliver)
+        assert runs_of(fleet)[f'r{number}'] == 1
+
+    def test_booking_is_unknown_and_not_sent_again(self):
+        """Guards against a second run: the server may have read the first."""
+        fleet = fleetsim.deployment()
+        fleet.backends['b0'].stale_connections = 1
+        number = fleet.call('m0', '/book/', key_of_b0(fleet), TIME_MS)
+        fleet.run(TIME_MS)
+        assert fleet.outcomes[number].verdict == messages.Verdict.UNKNOWN
+        assert not runs_of(fleet)[f'r{number}']
+
+    def test_repeats_stay_within_the_budget(self):
+        """Guards against doubling the load of a server that closes all."""
+        fleet = fleetsim.deployment(divided=1, others=1)
+        fleet.backends['b0'].stale_connections = 10 * BURST
+        numbers = [fleet.call('b0', '/look/', 7) for _ in range(BURST)]
+        fleet.run(TIME_MS)
+        bounds = settings.Bounds()
+        runs = runs_of(fleet)
+        repeats = sum(runs[f'r{number}'] for number in numbers)
+        allowed = bounds.retry_ratio * BURST + bounds.retry_extra
+        assert 0 < repeats <= allowed
+
+
 class TestLostAnswers:
     """A request whose response was lost may have run.
 
