--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """pytest configuration: fixed seeds, known failures, coroutine tests."""
 
 import asyncio
+import gc
 import inspect
 import pathlib
 
@@ -49,5 +50,20 @@
     parameters = {name: pyfuncitem.funcargs[name] for name in names}
     marker = pyfuncitem.get_closest_marker('time_limit')
     timeout_s = DEFAULT_TIMEOUT_S if marker is None else marker.args[0]
-    asyncio.run(asyncio.wait_for(pyfuncitem.obj(**parameters), timeout_s))
+    with asyncio.Runner() as runner:
+        try:
+            runner.run(
+                asyncio.wait_for(pyfuncitem.obj(**parameters), timeout_s)
+            )
+        finally:
+            runner.run(_collect_garbage())
     return True
+
+
+async def _collect_garbage():
+    """Free what a test left open, while its loop still runs.
+
+    A stream that is freed after the end of its loop raises. If that happens
+    while pytest parses a source file for a report, it ends the whole run.
+    """
+    gc.collect()
