--- a/laburnumlatch/experiments/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -4,7 +4,6 @@
 import time
 import tracemalloc
 
-import attrs
 import logbook
 
 from laburnumlatch.core import wire
@@ -12,13 +11,13 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.experiments import frontbench
-from laburnumlatch.mesh import balancing
+from laburnumlatch.experiments import planbench
+from laburnumlatch.experiments import timing
 from laburnumlatch.mesh import frames
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
-from laburnumlatch.mesh import planchanges
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
@@ -30,7 +29,6 @@
 # IPv4 and UDP headers.
 UDP_IP_BYTES = 28
 TICK_REPEATS = 200
-US_PER_S = 1_000_000
 REPORT_AFTER_S = 2
 KEY = 30_000
 # Sequence numbers and times as they are after a day of operation.
@@ -59,13 +57,13 @@
 def _idle_tick_us(size):
     """Return us of a tick without messages, with `size` more known hosts."""
     fleet, agent = _fleet_with_hosts(size)
-    return _time_us(lambda: ticks.tick(agent, fleet.now), TICK_REPEATS)
+    return timing.time_us(lambda: ticks.tick(agent, fleet.now), TICK_REPEATS)
 
 
 def _request_us(size):
     """Return us of one request served locally, with `size` more known hosts."""
     fleet, agent = _fleet_with_hosts(size)
-    return _time_us(lambda: _run_request(fleet, agent), TICK_REPEATS)
+    return timing.time_us(lambda: _run_request(fleet, agent), TICK_REPEATS)
 
 
 def _run_request(fleet, agent):
@@ -82,7 +80,7 @@
 def _forward_us(size):
     """Return us at the ingress of one request that another host serves."""
     fleet, agent = _fleet_with_hosts(size)
-    return _time_us(lambda: _run_forward(fleet, agent), TICK_REPEATS)
+    return timing.time_us(lambda: _run_forward(fleet, agent), TICK_REPEATS)
 
 
 def _run_forward(fleet, agent):
@@ -102,19 +100,6 @@
     agent.outbox.clear()
 
 
-def _moves_us(size):
-    """Return us of the planner's search for moves among `size` hosts."""
-    candidates = [
-        balancing.Candidate(piece.host_id, piece.life, 1.0)
-        for piece in _plan(size).pieces
-    ]
-    pieces = _plan(size).pieces
-    rates = {
-        bucket: 1 / (1 + bucket) for bucket in range(balancing.BUCKET_COUNT)
-    }
-    return _time_us(lambda: balancing.find_moves(pieces, rates, candidates), 1)
-
-
 def _frame_bytes(count):
     """Return bytes of a forward and its response, averaged over `count`."""
     sender, receiver = _CountingProtocol(), _CountingProtocol()
@@ -154,7 +139,7 @@
 def _datagram_us(count):
     """Return us to encode and decode one `Renew` and its `Lease`."""
     codec = wire.Codec(leasemsg.KINDS)
-    return _time_us(lambda: _encode_and_decode(codec), count)
+    return timing.time_us(lambda: _encode_and_decode(codec), count)
 
 
 def _encode_and_decode(codec):
@@ -198,23 +183,6 @@
     return renew, lease
 
 
-def _encode_us(size):
-    """Return us to encode a plan of `size` pieces."""
-    plan = _plan(size)
-    return _time_us(lambda: wire.pack(plan), 3)
-
-
-def _decode_us(size):
-    """Return us to decode a plan of `size` pieces."""
-    body = wire.pack(_plan(size))
-    return _time_us(lambda: wire.unpack(body, ranges.Plan), 3)
-
-
-def _plan_bytes(size):
-    """Return bytes of an encoded plan of `size` pieces, for each piece."""
-    return len(wire.pack(_plan(size))) / size
-
-
 def _host_bytes(size):
     return _average_bytes(size, lambda number: rows.Host(_record(number), 1))
 
@@ -237,13 +205,6 @@
     return used / len(instances)
 
 
-def _time_us(action, repeats):
-    started = time.process_time()
-    for _ in range(repeats):
-        action()
-    return (time.process_time() - started) * US_PER_S / repeats
-
-
 def _fleet_with_hosts(size):
     """Return a deployment, and an agent of it with `size` more known hosts."""
     fleet = fleetsim.deployment(divided=2, others=1)
@@ -268,39 +229,6 @@
     )
 
 
-def _plan_and_change(size):
-    """Return a plan of `size` pieces and a change that moves one of them."""
-    plan = _plan(size)
-    moved = attrs.evolve(plan.pieces[-1], host_id='host-0', fence=size + 1)
-    following = ranges.Plan(
-        plan.service, plan.version + 1, (*plan.pieces[:-1], moved)
-    )
-    return plan, planchanges.difference(plan, following)
-
-
-def _change_us(size):
-    """Return us to decode and apply a change of one among `size` pieces."""
-    plan, change = _plan_and_change(size)
-    body = wire.pack_compressed(change)
-    return _time_us(
-        lambda: planchanges.apply(plan, wire.unpack(body, planchanges.Change)),
-        3,
-    )
-
-
-def _change_bytes(size):
-    """Return bytes of an encoded change of one among `size` pieces."""
-    return len(wire.pack_compressed(_plan_and_change(size)[1]))
-
-
-def _plan(size):
-    owners = [
-        (f'host-{number}', ranges.Life(f's-{number}', 1))
-        for number in range(size)
-    ]
-    return ranges.Plan(fleetconfig.SERVICE, 1, ranges.divide_equally(owners))
-
-
 def _request_arrived(
     number, service=fleetconfig.OTHER_SERVICE, path='/', key=None
 ):
@@ -341,15 +269,15 @@
     ('idle tick us, hosts', SIZES, _idle_tick_us),
     ('request us at its own server, hosts', SIZES, _request_us),
     ('request us at the ingress, hosts', SIZES, _forward_us),
-    ('search for moves us, hosts', PLAN_SIZES, _moves_us),
+    ('search for moves us, hosts', PLAN_SIZES, planbench.moves_us),
     ('forward and answer bytes, requests before', REPEAT_COUNTS, _frame_bytes),
     ('renewal and lease coded us, repeats', REPEAT_COUNTS, _datagram_us),
     ('renewal and lease bytes, busy cells', (0, 10, 120), _datagram_bytes),
-    ('encode plan us, pieces', SIZES, _encode_us),
-    ('decode plan us, pieces', SIZES, _decode_us),
-    ('plan bytes a piece, pieces', SIZES, _plan_bytes),
-    ('take in a change of one piece us, pieces', SIZES, _change_us),
-    ('bytes of a change of one piece, pieces', SIZES, _change_bytes),
+    ('encode plan us, pieces', SIZES, planbench.encode_us),
+    ('decode plan us, pieces', SIZES, planbench.decode_us),
+    ('plan bytes a piece, pieces', SIZES, planbench.plan_bytes),
+    ('take in a change of one piece us, pieces', SIZES, planbench.change_us),
+    ('bytes of a change of one piece, pieces', SIZES, planbench.change_bytes),
     ('host bytes', SIZES, _host_bytes),
     ('request bytes', (100, 300), _request_bytes),
     (
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -43,9 +43,8 @@
 
     Each KB of a request body occupies the link of the receiving host for
     `link_ms_per_kb`. Messages to the agents of `paused` hosts are queued.
-    The next `plans_to_lose` messages with plans or plan changes are lost.
-    The time of day, by which new lives of backend servers are dated, is
-    `wall_offset_ms` ahead of the clock of the agents.
+    The next `plans_to_lose` messages with plans or plan changes are lost. New
+    lives of backend servers are dated `wall_offset_ms` ahead of the clock.
 
     `violations` lists breaches of the one-owner rule, `early_grants` keys that
     were granted while another server still worked on them, and
--- a/laburnumlatch/experiments/frontbench.py
+++ b/laburnumlatch/experiments/frontbench.py
@@ -9,13 +9,13 @@
 from laburnumlatch.core import engine
 from laburnumlatch.core import looptimes
 from laburnumlatch.core import ticking
+from laburnumlatch.experiments import timing
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import callerfront
 
 DEPTHS = (1, 4, 16)
 REQUEST_COUNT = 2000
-US_PER_S = 1_000_000
 LOOPBACK = '127.0.0.1'
 MEMORY_BYTES = 256_000_000
 ANSWER_BYTES = 256
@@ -79,7 +79,7 @@
     spent_s = time.process_time() - started
     writer.close()
     await front.stop()
-    return spent_s * US_PER_S / REQUEST_COUNT
+    return spent_s * timing.US_PER_S / REQUEST_COUNT
 
 
 def _free_port():
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -11,7 +11,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 
 import attrs
@@ -24,16 +23,14 @@
 from laburnumlatch.platform import configrowcodec
 from laburnumlatch.platform import tablestore
 from standins import backend as backends
+from standins import networks
 from standins import proxy as proxies
 from standins.platform import announcer
 from standins.platform import backendapi
 from standins.platform import settings
 from standins.platform import store as stores
 
-# The last octet of the store's address; the octets of hosts count from 1.
-STORE_OCTET = 250
 STORE_PORT = 18_142
-RESERVATION_PORT = 18_141
 CALLER_PORT = 8147
 READY_PORT = 8141
 CONTROL_PORT = 8144
@@ -42,8 +39,6 @@
 METRICS_PORT = 9464
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 10
-# Choices for the second and third octet of loopback addresses.
-NETWORK_OCTETS = range(10, 100)
 
 
 class NotReadyError(Exception):
@@ -126,7 +121,7 @@
         self._backend_servers = {}
         self._tasks = []
         self._proxy_servers = []
-        network, reservation = _reserve_network(rng or random.Random())
+        network, reservation = networks.reserve(rng or random.Random())
         self._network = network
         self._reservation = reservation
         self.store = stores.Store()
@@ -278,7 +273,7 @@
         )
 
     def _store_address_at(self, port):
-        return f'{self._network}.{STORE_OCTET}:{port}'
+        return f'{self._network}.{networks.STORE_OCTET}:{port}'
 
     def _build_host(self, spec, number):
         ip_text = f'{self._network}.{number}'
@@ -309,24 +304,6 @@
         )
 
 
-def _reserve_network(rng):
-    """Return the start of the addresses of a network, and its reservation.
-
-    The reservation is a bound socket. While it is open, no other deployment
-    on this machine gets the same network.
-    """
-    while True:
-        octets = [rng.choice(NETWORK_OCTETS) for _ in range(2)]
-        network = '.'.join(('127', *map(str, octets)))
-        reservation = socket.socket()
-        try:
-            reservation.bind((f'{network}.{STORE_OCTET}', RESERVATION_PORT))
-        except OSError:
-            reservation.close()
-        else:
-            return network, reservation
-
-
 def _listen(server, address):
     ip_text, port = address.split(':')
     server.add_sockets(netutil.bind_sockets(int(port), ip_text))
