--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -1,7 +1,7 @@
 """Simulated store, and the transport of the agents' calls to it."""
 
 from laburnumlatch.core import storemsg
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import configmsg
 
 CALL_DURATION_MS = 4
 # Interval at which a watch of the configuration checks for a new version.
@@ -93,11 +93,11 @@
             for message in outbox.take(kind):
                 self._fleet.store.calls += 1
                 self._schedule(CALL_DURATION_MS, self._call, host_id, message)
-        for read in outbox.take(messages.ReadConfiguration):
+        for read in outbox.take(configmsg.ReadConfiguration):
             self._schedule(
                 CALL_DURATION_MS, self._read_configuration, host_id, read
             )
-        for watch in outbox.take(messages.WatchConfiguration):
+        for watch in outbox.take(configmsg.WatchConfiguration):
             self._schedule(
                 CALL_DURATION_MS, self._watch_configuration, host_id, watch
             )
@@ -117,7 +117,7 @@
         newest = self._fleet.configuration
         store = self._fleet.store
         store.configuration_reads += 1
-        answer = messages.ConfigurationRead(
+        answer = configmsg.ConfigurationRead(
             request.ticket, (newest,), newest.version
         )
         if host_id in store.refused_hosts or store.is_down:
--- /dev/null
+++ b/laburnumlatch/mesh/configmsg.py
@@ -0,0 +1,48 @@
+"""Messages about the configuration and the settings of the process."""
+
+import attrs
+
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import settings as settings_module
+
+
+@attrs.define(frozen=True)
+class ReadConfiguration:
+    """Read the configuration that an operator accepted last."""
+
+    ticket: str
+
+
+@attrs.define(frozen=True)
+class WatchConfiguration:
+    """Wait up to `wait_ms` for a configuration newer than version `after`."""
+
+    ticket: str
+    after: int
+    wait_ms: int
+
+
+@attrs.define(frozen=True)
+class ConfigurationRead:
+    """Accepted configurations, oldest first; empty if nothing has changed.
+
+    `store_version` is the version of the store up to which they were read.
+    """
+
+    ticket: str
+    configurations: tuple[routes.Configuration, ...]
+    store_version: int
+
+
+@attrs.define(frozen=True)
+class LimitsChanged:
+    """New limits for the requests of callers are in force."""
+
+    limits: routes.Limits
+
+
+@attrs.define(frozen=True)
+class SettingsChanged:
+    """The settings file was read again."""
+
+    settings: settings_module.Settings
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -9,7 +9,7 @@
 
 from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import configmsg
 
 TICKET = 'configuration/'
 READ_TICKET = 'configuration/read'
@@ -24,7 +24,7 @@
 
 def run(agent, now):
     """Read or watch the configuration and apply new versions and settings."""
-    for changed in agent.inbox.take(messages.SettingsChanged):
+    for changed in agent.inbox.take(configmsg.SettingsChanged):
         _apply_settings(agent, changed.settings)
     for failed in agent.inbox.take_answers(storemsg.StoreFailed, TICKET):
         _log.warning(
@@ -33,7 +33,7 @@
         agent.is_watching_configuration = False
         retry_ms = agent.configuration_retry.record_failure(agent.rng)
         agent.timers.put(READ_TICKET, now + retry_ms)
-    for read in agent.inbox.take(messages.ConfigurationRead):
+    for read in agent.inbox.take(configmsg.ConfigurationRead):
         _apply_read(agent, read)
     is_outdated = (
         agent.lease.configuration_version > agent.configuration_version
@@ -42,7 +42,7 @@
         return
     interval_ms = OUTDATED_READ_INTERVAL_MS if is_outdated else READ_INTERVAL_MS
     if agent.due(READ_TICKET, interval_ms, now):
-        agent.outbox.post(messages.ReadConfiguration(READ_TICKET))
+        agent.outbox.post(configmsg.ReadConfiguration(READ_TICKET))
 
 
 def _apply_settings(agent, settings):
@@ -71,11 +71,11 @@
             routes=len(newest.routes),
         )
         agent.configuration = newest
-        agent.outbox.post(messages.LimitsChanged(newest.limits))
+        agent.outbox.post(configmsg.LimitsChanged(newest.limits))
     if read.ticket == WATCH_TICKET or not agent.is_watching_configuration:
         agent.is_watching_configuration = True
         agent.outbox.post(
-            messages.WatchConfiguration(
+            configmsg.WatchConfiguration(
                 WATCH_TICKET, read.store_version, WATCH_TIMEOUT_MS
             ),
         )
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -12,7 +12,6 @@
 import attrs
 
 from laburnumlatch.mesh import routes
-from laburnumlatch.mesh import settings as settings_module
 
 
 class Verdict(enum.StrEnum):
@@ -313,52 +312,7 @@
     exchange: int
 
 
-# Configuration.
-
-
-@attrs.define(frozen=True)
-class ReadConfiguration:
-    """Read the configuration that an operator accepted last."""
-
-    ticket: str
-
-
-@attrs.define(frozen=True)
-class WatchConfiguration:
-    """Wait up to `wait_ms` for a configuration newer than version `after`."""
-
-    ticket: str
-    after: int
-    wait_ms: int
-
-
-@attrs.define(frozen=True)
-class ConfigurationRead:
-    """Accepted configurations, oldest first; empty if nothing has changed.
-
-    `store_version` is the version of the store up to which they were read.
-    """
-
-    ticket: str
-    configurations: tuple[routes.Configuration, ...]
-    store_version: int
-
-
-@attrs.define(frozen=True)
-class LimitsChanged:
-    """New limits for the requests of callers are in force."""
-
-    limits: routes.Limits
-
-
-# Settings and the end of the process.
-
-
-@attrs.define(frozen=True)
-class SettingsChanged:
-    """The settings file was read again."""
-
-    settings: settings_module.Settings
+# The end of the process.
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -32,7 +32,7 @@
 SAFE_REST_MS = 60_000
 ONCE_REST_MS = 100
 WRONG_REQUEST_ID = serverconnection.WRONG_REQUEST_ID
-MISSING_REQUEST_ID = 'a refusal without an ID may be of an earlier request'
+MISSING_REQUEST_ID = 'a response without an ID may be of an earlier request'
 # Share of the process's memory for all responses that are being received;
 # several endless ones may arrive at the same time.
 MAX_RESPONSES_SHARE = 0.3
@@ -146,15 +146,15 @@
             'to': message.end,
             'fence': message.fence,
         }
-        self._pool.start(
-            _build_call(
-                message,
-                RELEASE_PATH,
-                body,
-                RELEASE_TIMEOUT_MS,
-                self._finish_release,
-            )
+        call = _build_call(
+            message,
+            RELEASE_PATH,
+            body,
+            RELEASE_TIMEOUT_MS,
+            self._finish_release,
         )
+        call.keeps_connection = False
+        self._pool.start(call)
 
     def _finish_release(self, message, outcome):
         _log_failure(RELEASE_PATH, outcome)
@@ -233,9 +233,9 @@
             _failure(message, phase, messages.Reason.BROKEN, outcome.detail),
             is_stale=outcome.is_stale,
         )
-    refusal = _refusal_reason(outcome)
-    if refusal is not None and _may_be_of_earlier_request(outcome):
+    if _may_be_of_earlier_request(outcome):
         return _broken(message, MISSING_REQUEST_ID)
+    refusal = _refusal_reason(outcome)
     if refusal is not None:
         return _failure(
             message,
@@ -266,7 +266,7 @@
 
 
 def _may_be_of_earlier_request(response):
-    """Return whether a refusal may be of an earlier request.
+    """Return whether a response may be of an earlier request.
 
     A backend server may send an earlier response once more on a kept
     connection, where only the request ID tells them apart.
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -9,6 +9,7 @@
 from laburnumlatch.core import clock
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
+from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import callerconnection
@@ -40,7 +41,7 @@
 class CallerFront(frontends.FrontEnd):
     """Receives complete requests and writes complete responses."""
 
-    kinds = (messages.Deliver, messages.Refuse, messages.LimitsChanged)
+    kinds = (messages.Deliver, messages.Refuse, configmsg.LimitsChanged)
 
     def __init__(self, post, settings, numbers, time_source):
         """Create the server; `start` opens its socket.
@@ -118,7 +119,7 @@
 
     def carry_out(self, message):
         """Write a response or a refusal, or put new limits in force."""
-        if isinstance(message, messages.LimitsChanged):
+        if isinstance(message, configmsg.LimitsChanged):
             self._limits = message.limits
             return
         exchange = self._open_exchanges.pop(message.number, None)
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -3,7 +3,7 @@
 from laburnumlatch.core import errors
 from laburnumlatch.core import logs
 from laburnumlatch.core import storelink
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import configmsg
 from laburnumlatch.platform import configrows
 
 TABLE = 'op/'
@@ -15,20 +15,20 @@
 class ConfigLink(storelink.StoreLink):
     """Reads and watches the table of the configuration row."""
 
-    kinds = (messages.ReadConfiguration, messages.WatchConfiguration)
+    kinds = (configmsg.ReadConfiguration, configmsg.WatchConfiguration)
 
     async def call(self, message):
-        """Return the `messages.ConfigurationRead` for a read or a watch.
+        """Return the `configmsg.ConfigurationRead` for a read or a watch.
 
         Raises `errors.StoreError` if the call fails.
         """
-        if isinstance(message, messages.ReadConfiguration):
+        if isinstance(message, configmsg.ReadConfiguration):
             changes = await self._store.read(TABLE)
         else:
             changes = await self._store.watch(
                 TABLE, message.after, message.wait_ms
             )
-        return messages.ConfigurationRead(
+        return configmsg.ConfigurationRead(
             message.ticket,
             tuple(_decode_configurations(changes.rows)),
             changes.version,
--- a/laburnumlatch/platform/responseparser.py
+++ b/laburnumlatch/platform/responseparser.py
@@ -125,7 +125,7 @@
         fields = tuple(self._fields)
         encoding = fields_module.get(fields, 'Transfer-Encoding')
         length = fields_module.get(fields, 'Content-Length')
-        if encoding not in {None, CHUNKED}:
+        if encoding is not None and encoding.lower() != CHUNKED:
             self._has_unknown_encoding = True
             return
         self._sink.head_received(
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -14,6 +14,7 @@
 from laburnumlatch.core import looptimes
 from laburnumlatch.core import storelink
 from laburnumlatch.mesh import agentstate
+from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
@@ -116,7 +117,7 @@
         except errors.InvalidInputError as error:
             _log.error('settings-refused', detail=error)
         else:
-            self._engine.post(messages.SettingsChanged(settings))
+            self._engine.post(configmsg.SettingsChanged(settings))
 
     def _check_file(self):
         """Reload if the file has changed; schedule the next check."""
--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -152,11 +152,12 @@
     @property
     def _is_reusable(self):
         """Whether the connection may carry another call behind this one."""
-        if self._call.keeps_after_success and self._head.status != STATUS_OK:
+        call = self._call
+        if call.keeps_after_success and self._head.status != STATUS_OK:
             return False
         # The rest of a request that is not sent would be due before the next.
         is_sent = not self._transport.get_write_buffer_size()
-        return self._head.keeps_alive and is_sent
+        return call.keeps_connection and self._head.keeps_alive and is_sent
 
     def _complete(self):
         call = self._call
--- a/tests/fronts.py
+++ b/tests/fronts.py
@@ -11,6 +11,7 @@
 from laburnumlatch.core import engine
 from laburnumlatch.core import looptimes
 from laburnumlatch.core import ticking
+from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import callerfront
@@ -105,7 +106,7 @@
 
     def change_limits(self, limits):
         """Put new `routes.Limits` in force."""
-        self._due.append(messages.LimitsChanged(limits))
+        self._due.append(configmsg.LimitsChanged(limits))
         self._engine.wake()
 
     async def wait_for(self, *targets):
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -64,7 +64,7 @@
     async def _read_request(self, reader):
         try:
             head = await reader.readuntil(b'\r\n\r\n')
-            if head.startswith(b'POST /grant'):
+            if head.startswith((b'POST /grant', b'POST /release')):
                 await reader.readuntil(b'}')
             return head
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError):
@@ -170,6 +170,21 @@
             assert exchanges.server.seen == [0, 1]
 
 
+class TestReleases:
+    """Connections of releases."""
+
+    async def test_connection_is_closed(self):
+        """Guards against connections that rest but are never used."""
+        async with talking(ACCEPTED) as exchanges:
+            exchanges.client.carry_out(
+                backendmsg.TakeBack(1, exchanges.server.address, 0, 15, 7)
+            )
+            event = await asyncio.wait_for(exchanges.events.get(), 3)
+            await asyncio.sleep(SHORT_WAIT_S)
+            assert event.is_answered
+            assert exchanges.server.ended == [0]
+
+
 class TestGrants:
     """Connections of grants, whose responses have no request ID."""
 
@@ -289,6 +304,35 @@
             assert event.answer.body == b'body'
             assert exchanges.server.seen == [0, 1]
 
+    async def test_failure_without_an_id_may_be_an_earlier_one(self):
+        """Guards against a caller that gets the failure of another request."""
+        failure = b'HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno'
+        async with talking(failure, failure) as exchanges:
+            first = await exchanges.send('a')
+            second = await exchanges.send('b')
+            assert first.answer.status == 500
+            assert second.phase == messages.Phase.SENT
+
+
+class TestFraming:
+    """How the end of a response is found."""
+
+    @pytest.mark.parametrize(
+        ('field', 'body', 'is_answered'),
+        [
+            ('Transfer-Encoding: Chunked', b'3\r\nabc\r\n0\r\n\r\n', True),
+            ('Transfer-Encoding: gzip', b'abc', False),
+            ('Transfer-Encoding: gzip, chunked', b'0\r\n\r\n', False),
+        ],
+    )
+    async def test_only_chunks_are_understood(self, field, body, is_answered):
+        """Guards against framing bytes that pass for a body."""
+        plain = sealed('a', field, body=b'')
+        response = plain.replace(b'Content-Length: 0\r\n', b'')
+        async with talking(b''.join((response, body))) as exchanges:
+            event = await exchanges.send('a')
+            assert isinstance(event, messages.ExchangeEnded) == is_answered
+
 
 class TestEnds:
     """Requests that end without a response of the server."""
--- a/tests/test_mesh_fuzz.py
+++ b/tests/test_mesh_fuzz.py
@@ -16,6 +16,7 @@
 
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
@@ -121,7 +122,7 @@
         old = self.configurations[-min(age, len(self.configurations))]
         self.fleet.post(
             host_id,
-            messages.ConfigurationRead('configuration/late', (old,), 0),
+            configmsg.ConfigurationRead('configuration/late', (old,), 0),
         )
 
     @stateful.rule(host_id=strategies.sampled_from(OWNERS))
