--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -65,7 +65,9 @@
             try:
                 self._parser.feed(piece)
             except requestparser.MalformedRequestError as error:
-                self.reject(error.status, error)
+                # What follows the last request of a connection gets no answer.
+                if not self.is_ended:
+                    self.reject(error.status, error)
         self._update_counts()
 
     def end(self):
--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -60,9 +60,7 @@
         self._calls_started += 1
         self._has_received = False
         self._begin_response()
-        self._transport.write(call.head)
-        if call.body:
-            self._transport.write(call.body)
+        self._transport.writelines((call.head, call.body))
 
     def can_carry(self, call, now):
         """Return whether a resting connection may carry a call now."""
--- a/tests/test_caller_pipelining.py
+++ b/tests/test_caller_pipelining.py
@@ -208,6 +208,37 @@
         assert (refusal.status, refusal.fields['connection']) == (413, 'close')
         assert '/r1' not in responder.arrived
 
+    @pytest.mark.parametrize(
+        ('sent', 'status'),
+        [
+            (
+                b'PUT /r0 HTTP/1.1\r\nHost: a\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n4\r\nlong\r\nbad\r\n',
+                413,
+            ),
+            (b'GET /r0 HTTP/1.1\r\nHost: a\r\n\r\nbad\r\n\r\n', 200),
+        ],
+        ids=['early-refusal', 'last-request-of-a-stop'],
+    )
+    async def test_bytes_behind_the_end_get_no_response(self, sent, status):
+        """Guards against a response to which there is no request.
+
+        Reading has ended; what follows in the same bytes is malformed.
+        """
+        async with fronts.responding() as responder:
+            responder.change_limits(routes.Limits(body_bytes=3))
+            reader, writer = await responder.connect()
+            await asyncio.sleep(SHORT_WAIT_S)
+            responder.front.begin_stop()
+            writer.write(sent)
+            if status == 200:
+                await responder.wait_for('/r0')
+                responder.answer('/r0')
+            response = await fronts.read_response(reader)
+            rest = await fronts.read_rest(reader)
+            writer.close()
+        assert (response.status, rest) == (status, b'')
+
 
 class TestPlannedStop:
     """The agent stops while connections have requests in all states."""
