--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -108,10 +108,10 @@
             connection.close()
 
     def begin_stop(self):
-        """Read no more requests than the callers cannot know to hold back.
+        """Let each connection read no further request, and then close.
 
-        Each connection closes behind the last request that it has read; one
-        without requests reads the next one first.
+        It closes behind the response to the last request that it has read. One
+        without requests reads the next one first, as that may be in transit.
         """
         self._is_stopping = True
         for connection in tuple(self._connections.values()):
--- a/laburnumlatch/platform/requestparser.py
+++ b/laburnumlatch/platform/requestparser.py
@@ -138,7 +138,7 @@
         if self._is_in_head:
             self._fields.append((
                 name.decode('latin-1'),
-                text.decode('latin-1').strip(),
+                text.decode('latin-1').strip(' \t'),
             ))
 
     def on_headers_complete(self):
--- a/laburnumlatch/platform/responseparser.py
+++ b/laburnumlatch/platform/responseparser.py
@@ -111,7 +111,7 @@
         if self._is_in_head:
             self._fields.append((
                 name.decode('latin-1'),
-                text.decode('latin-1').strip(),
+                text.decode('latin-1').strip(' \t'),
             ))
 
     def on_headers_complete(self):
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -185,6 +185,17 @@
         fields = (('Host', 'a'), ('Transfer-Encoding', 'chunked'))
         assert requests == [('POST', '/', fields, b'abc')]
 
+    def test_text_of_a_field_is_kept(self):
+        """Guards against fields that change on the way.
+
+        Only spaces and tabs around a text are no part of it; these bytes are
+        white space in Latin-1.
+        """
+        requests, _is_bad = parse([
+            post(b'X: \t\xa0a b\x85 \t', LENGTH, body=b'abc')
+        ])
+        assert requests[0][2][1] == ('X', '\xa0a b\x85')
+
     @pytest.mark.parametrize(
         'fields',
         [b'Connection: close', b'Connection: upgrade\r\nUpgrade: h2c'],
