--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -149,13 +149,29 @@
                 host_id, send, messages.Phase.REFUSED, messages.Reason.NOT_OWNER
             )
             return
+        if self._meets_fault(host_id, backend, send):
+            return
+        end = self._fleet.now + backend.work_ms
+        backend.running[send.number] = (key, end)
+        backend.started.append((self._fleet.now, send.head.request_id))
+        action = (
+            self._make_nested_calls if backend.nested_calls else self._finish
+        )
+        self._fleet.schedule(
+            backend.work_ms, action, host_id, backend.life, send
+        )
+
+    def _meets_fault(self, host_id, backend, send):
+        """Return whether a fault of the server keeps a request from running."""
         if backend.sheds:
             backend.sheds -= 1
             self._fail(
                 host_id, send, messages.Phase.REFUSED, messages.Reason.SHED
             )
-            return
-        if backend.stale_connections and not send.fresh_connection:
+            return True
+        if send.fresh_connection:
+            return False
+        if backend.stale_connections:
             backend.stale_connections -= 1
             self._fail(
                 host_id,
@@ -164,19 +180,11 @@
                 messages.Reason.BROKEN,
                 is_stale=True,
             )
-            return
-        if backend.silent_connections and not send.fresh_connection:
+            return True
+        if backend.silent_connections:
             backend.silent_connections -= 1
-            return
-        end = self._fleet.now + backend.work_ms
-        backend.running[send.number] = (key, end)
-        backend.started.append((self._fleet.now, send.head.request_id))
-        action = (
-            self._make_nested_calls if backend.nested_calls else self._finish
-        )
-        self._fleet.schedule(
-            backend.work_ms, action, host_id, backend.life, send
-        )
+            return True
+        return False
 
     def _fail(self, host_id, send, phase, reason, is_stale=False):
         failed = messages.ExchangeFailed(
--- a/tests/test_caller_pipelining.py
+++ b/tests/test_caller_pipelining.py
@@ -19,6 +19,14 @@
     return [f'/r{number}' for number in range(count)]
 
 
+async def send_burst(responder):
+    """Send three requests on a new connection; return reader and writer."""
+    reader, writer = await responder.connect()
+    writer.write(b''.join(map(fronts.get, paths(3))))
+    await responder.wait_for(*paths(3))
+    return reader, writer
+
+
 async def answer_in_order(responder):
     """Answer a burst of requests, each as soon as it has arrived."""
     for path in paths(BURST):
@@ -34,9 +42,7 @@
     async def test_requests_arrive_while_the_first_is_open(self):
         """Guards against requests that wait unread behind a slow one."""
         async with fronts.responding() as responder:
-            _reader, writer = await responder.connect()
-            writer.write(b''.join(map(fronts.get, paths(3))))
-            await responder.wait_for(*paths(3))
+            _reader, writer = await send_burst(responder)
             connections = {
                 arrived.connection for arrived in responder.arrived.values()
             }
@@ -47,9 +53,7 @@
     async def test_responses_wait_for_a_slow_first_request(self):
         """Guards against a response taken for that to an earlier request."""
         async with fronts.responding() as responder:
-            reader, writer = await responder.connect()
-            writer.write(b''.join(map(fronts.get, paths(3))))
-            await responder.wait_for(*paths(3))
+            reader, writer = await send_burst(responder)
             for path in ('/r2', '/r1'):
                 responder.answer(path)
             with pytest.raises(TimeoutError):
@@ -64,9 +68,7 @@
     async def test_refusal_of_one_leaves_the_others(self):
         """Guards against a refusal that ends the whole connection."""
         async with fronts.responding() as responder:
-            reader, writer = await responder.connect()
-            writer.write(b''.join(map(fronts.get, paths(3))))
-            await responder.wait_for(*paths(3))
+            reader, writer = await send_burst(responder)
             responder.refuse('/r1')
             responder.answer('/r2')
             responder.answer('/r0')
@@ -125,9 +127,7 @@
     async def test_leaving_caller_cancels_all_requests(self):
         """Guards against later requests that run on for nobody."""
         async with fronts.responding() as responder:
-            _reader, writer = await responder.connect()
-            writer.write(b''.join(map(fronts.get, paths(3))))
-            await responder.wait_for(*paths(3))
+            _reader, writer = await send_burst(responder)
             responder.answer('/r1')
             await asyncio.sleep(SHORT_WAIT_S)
             writer.close()
--- a/tests/test_mesh_outcomes.py
+++ b/tests/test_mesh_outcomes.py
@@ -32,6 +32,19 @@
     return fleet.backends['b0'].held_ranges()[0][0]
 
 
+def outcome_with_fault(path, fault):
+    """Send a request that meets a fault of its server once.
+
+    `fault` is the name of a counter of `fleetbackend.Backend`. Returns the
+    outcome for the caller, and how often the request ran.
+    """
+    fleet = fleetsim.deployment()
+    setattr(fleet.backends['b0'], fault, 1)
+    number = fleet.call('m0', path, key_of_b0(fleet), TIME_MS)
+    fleet.run(TIME_MS)
+    return fleet.outcomes[number], runs_of(fleet)[f'r{number}']
+
+
 class TestSlots:
     """A backend server must never get more requests than it has slots."""
 
@@ -56,12 +69,9 @@
 
         No other server may run a request with this key.
         """
-        fleet = fleetsim.deployment()
-        fleet.backends['b0'].sheds = 1
-        number = fleet.call('m0', path, key_of_b0(fleet), TIME_MS)
-        fleet.run(TIME_MS)
-        assert isinstance(fleet.outcomes[number], messages.Deliver)
-        assert runs_of(fleet)[f'r{number}'] == 1
+        outcome, runs = outcome_with_fault(path, 'sheds')
+        assert isinstance(outcome, messages.Deliver)
+        assert runs == 1
 
     def test_request_that_is_refused_again_has_not_run(self):
         """Guards against sending a request until its deadline."""
@@ -93,21 +103,15 @@
 
     def test_safe_request_is_sent_again(self):
         """Guards against failing a caller for a connection that rested."""
-        fleet = fleetsim.deployment()
-        fleet.backends['b0'].stale_connections = 1
-        number = fleet.call('m0', '/look/', key_of_b0(fleet))
-        fleet.run(TIME_MS)
-        assert isinstance(fleet.outcomes[number], messages.Deliver)
-        assert runs_of(fleet)[f'r{number}'] == 1
+        outcome, runs = outcome_with_fault('/look/', 'stale_connections')
+        assert isinstance(outcome, messages.Deliver)
+        assert runs == 1
 
     def test_booking_is_unknown_and_not_sent_again(self):
         """Guards against a second run: the server may have read the first."""
-        fleet = fleetsim.deployment()
-        fleet.backends['b0'].stale_connections = 1
-        number = fleet.call('m0', '/book/', key_of_b0(fleet), TIME_MS)
-        fleet.run(TIME_MS)
-        assert fleet.outcomes[number].verdict == messages.Verdict.UNKNOWN
-        assert not runs_of(fleet)[f'r{number}']
+        outcome, runs = outcome_with_fault('/book/', 'stale_connections')
+        assert outcome.verdict == messages.Verdict.UNKNOWN
+        assert not runs
 
     def test_repeats_stay_within_the_budget(self):
         """Guards against doubling the load of a server that closes all."""
@@ -130,21 +134,15 @@
 
     def test_booking_is_unknown_and_runs_once(self):
         """Guards against running twice what must run once."""
-        fleet = fleetsim.deployment()
-        fleet.backends['b0'].lost_answers = 1
-        number = fleet.call('m0', '/book/', key_of_b0(fleet), TIME_MS)
-        fleet.run(TIME_MS)
-        assert fleet.outcomes[number].verdict == messages.Verdict.UNKNOWN
-        assert runs_of(fleet)[f'r{number}'] == 1
+        outcome, runs = outcome_with_fault('/book/', 'lost_answers')
+        assert outcome.verdict == messages.Verdict.UNKNOWN
+        assert runs == 1
 
     def test_read_is_retried(self):
         """Guards against a lost response that fails a safe request."""
-        fleet = fleetsim.deployment()
-        fleet.backends['b0'].lost_answers = 1
-        number = fleet.call('m0', '/look/', key_of_b0(fleet))
-        fleet.run(TIME_MS)
-        assert isinstance(fleet.outcomes[number], messages.Deliver)
-        assert runs_of(fleet)[f'r{number}'] == 2
+        outcome, runs = outcome_with_fault('/look/', 'lost_answers')
+        assert isinstance(outcome, messages.Deliver)
+        assert runs == 2
 
     def test_retries_stay_within_the_budget(self):
         """Guards against retries that multiply the load of a failing server.
