Review: end the agents of a script that gets SIGTERM

Scripts that were ended from outside left their agents running: 65 of them were found after runs that were given up by SIGTERM, and ended by their process IDs. SIGTERM now cancels the case, which ends its agents.

Shown by SIGTERM 14 s after the start of review/1/run.sh: exit code 2 and no agent left. The checks of the cases are unchanged.

--- a/review/harness.py
+++ b/review/harness.py
@@ -490,10 +490,9 @@
     record = Record(pathlib.Path(case_file).parent / 'record.txt')
     folder = tempfile.mkdtemp(prefix='laburnumlatch-review-')
     code = EXIT_NOT_RUN
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         code = asyncio.run(_in_time(run(folder, record), limit_s))
-    except (OSError, TimeoutError, NotServingError) as error:
+    except (OSError, asyncio.CancelledError, NotServingError) as error:
         record.add('could-not-run', error=repr(error))
     finally:
         record.add('end', code=code)
@@ -506,5 +505,9 @@
 
 
 async def _in_time(coroutine, limit_s):
+    """Wait for the case; SIGTERM cancels it, so that its agents are ended."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     async with asyncio.timeout(limit_s):
         return await coroutine
