Give up leases when the backend server does not respond

Cause: an agent whose backend server does not respond says so in its renewal, with the end of the grants there. Once these have ended, the planner gives the keys away, by that renewal. But the host still had the lease that it had been issued before, for up to 4 s, and each further renewal brought another one. When the server came back in between, the agent granted the keys again under that lease.

Change: a lease is for one run of the backend server. A renewal that names another run, or none, gives up all leases before it: the host grants nothing until it has a lease in response to a later renewal, and renews at once when its server comes back. The planner issues none without a server, and takes a lease as given up only if the renewal returns its time of issue, so that renewals may arrive in any order; otherwise it waits for the end of the lease. Renewals of an earlier term, whose times of issue are another planner's, get PlannerIs alone. So when the planner gives keys away, no lease is left under which they could be granted, and a later renewal finds the plan changed. No message changes.

--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -26,6 +26,8 @@
     `sheds` requests are refused as not run, and the next `stale_connections`
     on a kept connection find it closed.
 
+    While `is_cut` the server lives on, but its agent cannot reach it.
+
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
     tokens of the accepted grants.
@@ -44,6 +46,7 @@
         self.sheds = 0
         self.stale_connections = 0
         self.is_up = True
+        self.is_cut = False
         self.life = ranges.Life(f's-{host_id}', fleet.now)
         self.ledger = grantledger.Ledger()
         self.running = {}
@@ -54,6 +57,11 @@
         self.started = []
         self.handovers = []
 
+    @property
+    def is_reachable(self):
+        """Whether the agent on the same host can reach the server."""
+        return self.is_up and not self.is_cut
+
     def restart(self):
         """Start a new life without any grants."""
         self.is_up = True
@@ -106,6 +114,15 @@
         """Release the range of a `TakeBack`."""
         self.ledger.release(message)
 
+    def remaining_work_ms(self, start, end):
+        """Return when the work on a range of keys ends, in ms from now."""
+        ends = [
+            until - self.fleet.now
+            for key, until in self.running.values()
+            if key is not None and start <= key <= end
+        ]
+        return max([0, *ends])
+
     def holds(self, key):
         """Tell whether a request for `key` may start."""
         return self.is_up and self.ledger.holds(key, self.fleet.now)
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -226,7 +226,7 @@
 
     def _announce_periodically(self, host_id):
         backend = self.backends[host_id]
-        if backend.is_up:
+        if backend.is_reachable:
             self.post(host_id, backend.announce())
         self.schedule(
             fleetconfig.ANNOUNCEMENT_INTERVAL_MS,
@@ -304,7 +304,7 @@
     def _grant(self, host_id, give):
         backend = self.backends[host_id]
         is_accepted = None
-        if backend.is_up:
+        if backend.is_reachable:
             is_accepted = backend.grant(give)
             if backend.loses_grant_answers:
                 is_accepted = None
@@ -318,15 +318,11 @@
 
     def _release(self, host_id, take):
         backend = self.backends[host_id]
-        if backend.is_up:
+        is_released = backend.is_reachable
+        if is_released:
             backend.release(take)
-        running_until = [
-            end
-            for key, end in backend.running.values()
-            if key is not None and take.start <= key <= take.end
-        ]
-        delay_ms = max([0, *(end - self.now for end in running_until)])
-        response = backendmsg.TakenBack(take.ticket, backend.is_up, 'token')
+        response = backendmsg.TakenBack(take.ticket, is_released, 'token')
+        delay_ms = backend.remaining_work_ms(take.start, take.end)
         self.schedule(delay_ms + 1, self.post, host_id, response)
 
 
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -137,7 +137,7 @@
     def _start_request(self, host_id, send):
         backend = self._fleet.backends[host_id]
         key = send.head.key
-        if not backend.is_up:
+        if not backend.is_reachable:
             self._fail(
                 host_id, send, messages.Phase.UNSENT, messages.Reason.BROKEN
             )
@@ -245,7 +245,8 @@
         backend = self._fleet.backends[host_id]
         if not backend.is_up:
             return
-        if backend.life != life or backend.lost_answers:
+        is_lost = backend.is_cut or backend.lost_answers
+        if backend.life != life or is_lost:
             backend.lost_answers = max(0, backend.lost_answers - 1)
             backend.running.pop(send.number, None)
             self._fail(
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -243,10 +243,11 @@
 
 
 def _may_grant(agent, backend, now):
-    """Return whether the backend server is up and the lease is valid."""
+    """Return whether the backend server is up and has a valid lease."""
     plan = agent.plan_of(agent.settings.service)
     return (
         backend.failed_since is None
+        and backend.life == agent.lease.life
         and now < agent.lease.expires
         and agent.lease.covers(plan)
     )
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -88,9 +88,16 @@
     is valid only for a host that knows the plan of its service in at least the
     version of `plan_versions`. `issued_at` is when the newest lease of the
     present term was issued, by the planner's clock, 0 if there is none.
+
+    The lease is for `life` alone, the run of the backend server that the last
+    renewal named, None if that server did not respond. Renewals have named it
+    since the one of sequence number `life_since`; a lease in response to an
+    earlier one has been given up.
     """
 
     expires: int = 0
+    life: ranges.Life | None = None
+    life_since: int = 0
     planner_contact_at: int = 0
     sequence: int = 0
     newest_sequence: int = 0
@@ -108,13 +115,20 @@
             if service == plan.service
         )
 
+    def give_up(self, life, sequence):
+        """End the lease, because the renewal `sequence` names another life."""
+        self.expires = 0
+        self.life = life
+        self.life_since = sequence
+
 
 @attrs.define
 class LeaseHolder:
     """A host that renews its lease, as the planner knows it.
 
     `expires` is the latest end of the last lease that this planner issued to
-    it. `first_contact` and `last_contact` are when renewals under the present
+    it, for `leased_life` and at `leased_at`; 0 once the host has given it up.
+    `first_contact` and `last_contact` are when renewals under the present
     term arrived; `confirmed_contact` is a time after which the host has
     certainly sent one. `ready_since` is when it first reported a live backend
     server, `plan_sent_at` when it was last sent a plan or a plan change.
@@ -129,6 +143,8 @@
     address: str
     service: str
     expires: int = 0
+    leased_life: ranges.Life | None = None
+    leased_at: int = 0
     last_contact: int = 0
     confirmed_contact: int = 0
     first_contact: int | None = None
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -2,10 +2,16 @@
 
 Each host sends renewals to the planner, which responds with a lease. A host
 holds its keys only while its lease lasts.
+
+A lease is for one run of the host's backend server. A renewal that names
+another run, or none since the server does not respond, gives up all leases
+before it: the planner may then reassign the keys as soon as the grants that the
+renewal reports have ended.
 """
 
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import leaseends
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
@@ -36,6 +42,8 @@
         _process_lease(agent, lease, now)
     for renew in agent.inbox.take(leasemsg.Renew):
         _process_renewal(agent, renew, now)
+    if _usable_life(agent) != agent.lease.life:
+        agent.timers.pop('leases/renew')
     if agent.role.holder and agent.due('leases/renew', RENEW_MS, now):
         _send_renewal(agent, now)
     if agent.role.is_held:
@@ -48,6 +56,9 @@
     lease.sent_at[lease.sequence] = now
     while len(lease.sent_at) > MAX_KEPT_RENEWALS:
         lease.sent_at.pop(min(lease.sent_at))
+    life = _usable_life(agent)
+    if life != lease.life:
+        lease.give_up(life, lease.sequence)
     renew = _create_renewal(agent, now)
     if agent.role.is_held:
         _process_renewal(agent, renew, now)
@@ -62,15 +73,15 @@
     report = agent.load_report
     buckets = report.buckets.most_common(MAX_REPORTED_BUCKETS)
     agent.load_report = leaserows.LoadReport()
-    is_usable = backend is not None and backend.failed_since is None
+    life = agent.lease.life
     return leasemsg.Renew(
         host_id=settings.host_id,
         address=settings.peer_address,
         term=agent.role.term,
         sequence=agent.lease.sequence,
         service=settings.service,
-        life=backend.life if is_usable else None,
-        slots=backend.slots if is_usable else 0,
+        life=life,
+        slots=0 if life is None else backend.slots,
         is_leaving=_is_leaving(agent),
         has_store=agent.role.has_store and agent.is_watching_members,
         plan_versions=_plan_versions(agent),
@@ -88,6 +99,14 @@
     )
 
 
+def _usable_life(agent):
+    """Return the run of the backend server, None unless it responds."""
+    backend = agent.backend
+    if backend is None or backend.failed_since is not None:
+        return None
+    return backend.life
+
+
 def _is_leaving(agent):
     backend = agent.backend
     is_closing = backend is not None and backend.closing_at is not None
@@ -101,7 +120,11 @@
         return
     agent.lease.planner_contact_at = now
     agent.lease.planner_has_store = lease.has_store
-    if lease.valid_ms:
+    is_for_life = (
+        agent.lease.life is not None
+        and lease.sequence >= agent.lease.life_since
+    )
+    if lease.valid_ms and is_for_life:
         agent.lease.expires = max(agent.lease.expires, sent_at + lease.valid_ms)
     if lease.sequence > agent.lease.newest_sequence:
         # Leases may arrive out of order; the one for the newest renewal has the
@@ -123,10 +146,14 @@
         _log.warning('term-outdated', newer=renew.term, own=planner_role.term)
         planner_role.renewed_at = 0
         return
-    valid_ms = _valid_ms(agent, renew, now)
+    if renew.term < planner_role.term:
+        # It may have been sent long ago; `PlannerIs` brings the next one.
+        _redirect(agent, renew)
+        return
     lease_holder = _update_lease_holder(agent, renew, now)
+    valid_ms = _valid_ms(agent, renew, lease_holder, now)
     if valid_ms:
-        lease_holder.expires = now + leaserows.latest_end_ms()
+        leaseends.record_lease(lease_holder, now)
     lease = leasemsg.Lease(
         holder=planner_role.holder,
         address=planner_role.address,
@@ -167,11 +194,13 @@
     return tuple((row.plan.service, row.plan.version) for row in agent.plans)
 
 
-def _valid_ms(agent, renew, now):
+def _valid_ms(agent, renew, lease_holder, now):
     """Return how long the lease may last, 0 if none may be issued."""
     planner_role = agent.role
     if not planner_role.has_plans or not role.may_lease(planner_role, now):
         return 0
+    if not leaseends.may_renew(lease_holder, now):
+        return 0
     for write in agent.plan_writes:
         if planwrites.loses_keys(agent, write, renew.host_id):
             # The write may take effect without the host's knowledge.
@@ -197,18 +226,18 @@
             renew.host_id,
             leaserows.LeaseHolder(renew.host_id, renew.address, renew.service),
         )
-    if renew.term == agent.role.term:
-        lease_holder.last_contact = now
-        # The renewal may have been waiting here for any time, if this process
-        # was paused. It was certainly sent after the lease whose time of issue
-        # it returns.
-        is_own = renew.host_id == agent.host_id
-        confirmed_contact = now if is_own else renew.lease_issued_at
-        lease_holder.confirmed_contact = max(
-            lease_holder.confirmed_contact, confirmed_contact
-        )
-        if lease_holder.first_contact is None:
-            lease_holder.first_contact = now
+    lease_holder.last_contact = now
+    # The renewal may have been waiting here for any time, if this process was
+    # paused. It was certainly sent after the lease whose time of issue it
+    # returns.
+    is_own = renew.host_id == agent.host_id
+    confirmed_contact = now if is_own else renew.lease_issued_at
+    lease_holder.confirmed_contact = max(
+        lease_holder.confirmed_contact, confirmed_contact
+    )
+    if lease_holder.first_contact is None:
+        lease_holder.first_contact = now
+    leaseends.end_if_given_up(lease_holder, renew)
     lease_holder.address = renew.address
     lease_holder.service = renew.service
     lease_holder.life = renew.life
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -14,6 +14,7 @@
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import bucketloads
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import leaseends
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import planwrites
@@ -335,13 +336,13 @@
 
         `life` is the run of its backend server that owned the keys, None for
         any. A host with recent contact holds none if it reports another run or
-        none and its grants have expired. For any other host all leases must
-        have expired, also those from earlier planners.
+        none, and its leases and grants for the owning one have ended. For any
+        other host all leases must have expired, also those from earlier
+        planners.
         """
         holder = self._agent.lease_holders.get(host_id)
         if holder is not None and self._now < holder.last_contact + SILENT_MS:
-            is_current = holder.life is not None and life in {None, holder.life}
-            return not is_current and self._now >= holder.grants_end
+            return leaseends.holds_no_keys(holder, life, self._now)
         leases_end = role.former_leases_end(
             self._agent.role,
             self._agent.lease_holders,
--- a/tests/test_mesh_fuzz.py
+++ b/tests/test_mesh_fuzz.py
@@ -88,6 +88,13 @@
     def restart_server(self, host_id):
         self.fleet.backends[host_id].restart()
 
+    @stateful.rule(
+        host_id=strategies.sampled_from(OWNERS), is_cut=strategies.booleans()
+    )
+    def cut_server(self, host_id, is_cut):
+        """Cut a backend server off from its agent, or end that."""
+        self.fleet.backends[host_id].is_cut = is_cut
+
     @stateful.rule(host_id=strategies.sampled_from(HOSTS))
     def partition_host(self, host_id):
         self.fleet.partitioned_hosts.add(host_id)
@@ -167,6 +174,7 @@
         self.fleet.store.is_down = False
         for backend in self.fleet.backends.values():
             backend.loses_grant_answers = False
+            backend.is_cut = False
             if backend.is_draining or not backend.is_up:
                 backend.restart()
         for host_id in HOSTS:
