Count a grant in flight as one that may take effect

Found by looking for its cause on related paths: a report of a host that leaves out what may still give its server a key.

Cause: the end of grants that a host reports while its server does not respond left out a grant whose call was still open. It may be taken until the call is given up, and lasts from then. The same for a grant in flight to a former run of the server, whose ticket was forgotten; and a later grant without response, with a shorter time, replaced the end of an earlier one.

Change: a grant in flight counts from the end of its call, and the end of grants without response never goes back. The time-out of a grant moves to the messages, as decisions depend on it now.

Not seen in a deployment: the other grants of a host mostly last longer than the one that was left out.

The simulated transport of grants has a module of its own, and can delay them.

--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -26,7 +26,8 @@
     `sheds` requests are refused as not run, and the next `stale_connections`
     on a kept connection find it closed.
 
-    While `is_cut` the server lives on, but its agent cannot reach it.
+    A grant arrives after `grant_delay_ms`. While `is_cut` the server lives on,
+    but its agent cannot reach it; what is in transit still arrives.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -54,6 +55,7 @@
         self.is_draining = False
         self.clock_ratio = SLOW_CLOCK_RATIO
         self.loses_grant_answers = False
+        self.grant_delay_ms = 0
         self.started = []
         self.handovers = []
 
--- /dev/null
+++ b/laburnumlatch/experiments/fleetgrants.py
@@ -0,0 +1,60 @@
+"""Simulated transport of grants and releases to the backend servers."""
+
+from laburnumlatch.mesh import backendmsg
+
+# Time until the response to a grant or release arrives.
+RESPONSE_DELAY_MS = 1
+
+
+class GrantTransport:
+    """Carries grants and releases from the agents to their servers."""
+
+    def __init__(self, fleet):
+        """Create the transport for the agents of a `fleetsim.Fleet`."""
+        self._fleet = fleet
+
+    def process_outbox(self, host_id, outbox):
+        """Schedule the grants and releases in an agent's outbox."""
+        delay_ms = self._fleet.backends[host_id].grant_delay_ms
+        for give in outbox.take(backendmsg.GiveGrant):
+            if self._fleet.backends[host_id].is_reachable:
+                self._fleet.schedule(delay_ms, self._grant, host_id, give)
+            else:
+                self._answer_grant(host_id, give, None)
+        for take in outbox.take(backendmsg.TakeBack):
+            self._fleet.schedule(
+                RESPONSE_DELAY_MS, self._release, host_id, take
+            )
+
+    def _grant(self, host_id, give):
+        """Apply a grant that arrives; its response may be lost."""
+        backend = self._fleet.backends[host_id]
+        is_accepted = backend.grant(give) if backend.is_up else None
+        if backend.loses_grant_answers or not backend.is_reachable:
+            is_accepted = None
+        self._answer_grant(host_id, give, is_accepted)
+
+    def _answer_grant(self, host_id, give, is_accepted):
+        backend = self._fleet.backends[host_id]
+        delay_ms = RESPONSE_DELAY_MS
+        if is_accepted is None:
+            delay_ms = backendmsg.GRANT_TIMEOUT_MS - backend.grant_delay_ms
+        self._fleet.schedule(
+            delay_ms,
+            self._fleet.post,
+            host_id,
+            backendmsg.GrantAnswered(give.ticket, is_accepted),
+        )
+
+    def _release(self, host_id, take):
+        backend = self._fleet.backends[host_id]
+        is_released = backend.is_reachable
+        if is_released:
+            backend.release(take)
+        delay_ms = backend.remaining_work_ms(take.start, take.end)
+        self._fleet.schedule(
+            delay_ms + RESPONSE_DELAY_MS,
+            self._fleet.post,
+            host_id,
+            backendmsg.TakenBack(take.ticket, is_released, 'token'),
+        )
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -13,10 +13,10 @@
 
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetgrants
 from laburnumlatch.experiments import fleetstore
 from laburnumlatch.experiments import fleetwork
 from laburnumlatch.mesh import agentstate
-from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import planmsg
@@ -26,8 +26,6 @@
 
 START_MS = 1_000_000
 SEED_BITS = 32
-# How long an agent waits for the response to a grant.
-GRANT_TIMEOUT_MS = 400
 # Time from the `Stopped` message of an agent to the end of its process.
 EXIT_DELAY_MS = 20
 # By then all hosts know each other and all keys are held.
@@ -84,6 +82,7 @@
         self.host_settings = host_settings or {}
         self.domains = {}
         self._request_transport = fleetwork.RequestTransport(self)
+        self._grant_transport = fleetgrants.GrantTransport(self)
         self._store_transport = fleetstore.StoreTransport(self)
         self._events = []
         self._sequence = itertools.count()
@@ -256,10 +255,7 @@
                     datagram.address,
                     datagram.message,
                 )
-        for give in outbox.take(backendmsg.GiveGrant):
-            self._grant(host_id, give)
-        for take in outbox.take(backendmsg.TakeBack):
-            self.schedule(1, self._release, host_id, take)
+        self._grant_transport.process_outbox(host_id, outbox)
         self._send_plans(host_id, outbox)
         self._request_transport.process_outbox(host_id, outbox)
         if outbox.take(messages.Stopped) and host_id not in self.stopped_at:
@@ -301,30 +297,6 @@
                     message,
                 )
 
-    def _grant(self, host_id, give):
-        backend = self.backends[host_id]
-        is_accepted = None
-        if backend.is_reachable:
-            is_accepted = backend.grant(give)
-            if backend.loses_grant_answers:
-                is_accepted = None
-        delay_ms = GRANT_TIMEOUT_MS if is_accepted is None else 1
-        self.schedule(
-            delay_ms,
-            self.post,
-            host_id,
-            backendmsg.GrantAnswered(give.ticket, is_accepted),
-        )
-
-    def _release(self, host_id, take):
-        backend = self.backends[host_id]
-        is_released = backend.is_reachable
-        if is_released:
-            backend.release(take)
-        response = backendmsg.TakenBack(take.ticket, is_released, 'token')
-        delay_ms = backend.remaining_work_ms(take.start, take.end)
-        self.schedule(delay_ms + 1, self.post, host_id, response)
-
 
 def deployment(divided=4, others=2, seed=1, **policies):
     """Return a running deployment of two services in three failure domains.
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -7,6 +7,9 @@
 
 from laburnumlatch.mesh import ranges
 
+# A grant without a response for this time counts as unanswered.
+GRANT_TIMEOUT_MS = 600
+
 
 @attrs.define(frozen=True)
 class BackendAnnounced:
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -123,9 +123,25 @@
     return max(
         holding.granted_until + int(holding.hold_ms * SLOW_CLOCK_RATIO),
         holding.unconfirmed_until,
+        _in_flight_end(holding),
     )
 
 
+def _in_flight_end(holding):
+    """Return the latest end of the grant that is in flight, 0 if none is."""
+    is_releasing = holding.state == leaserows.HoldingState.RELEASING
+    if is_releasing or not holding.ticket:
+        return 0
+    return _unconfirmed_end(
+        holding, holding.sent_at + backendmsg.GRANT_TIMEOUT_MS
+    )
+
+
+def _unconfirmed_end(holding, arrives_by):
+    """Return the latest end of a grant that may arrive until `arrives_by`."""
+    return arrives_by + int(holding.hold_ms * leaserows.LATEST_END_RATIO)
+
+
 def _holding_by_ticket(agent, ticket):
     for holding in agent.holdings:
         if holding.ticket == ticket:
@@ -155,6 +171,9 @@
     """
     for holding in agent.holdings:
         if holding.life != backend.life:
+            holding.unconfirmed_until = max(
+                holding.unconfirmed_until, _in_flight_end(holding)
+            )
             holding.life = backend.life
             holding.is_stale = True
             holding.ticket = 0
@@ -305,8 +324,8 @@
         return
     holding.retry_at = now + RETRY_DELAY_MS
     if response.is_accepted is None:
-        holding.unconfirmed_until = now + int(
-            holding.hold_ms * leaserows.LATEST_END_RATIO,
+        holding.unconfirmed_until = max(
+            holding.unconfirmed_until, _unconfirmed_end(holding, now)
         )
     _log.warning(
         'grant-not-accepted',
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -22,7 +22,6 @@
 TIMEOUT_MARGIN_MS = 1000
 GRANT_PATH = '/grant'
 RELEASE_PATH = '/release'
-GRANT_TIMEOUT_MS = 600
 # The backend server responds to a release only once its running work has
 # ended.
 RELEASE_TIMEOUT_MS = 6000
@@ -126,7 +125,11 @@
         if message.handover:
             body['handover'] = message.handover
         call = _build_call(
-            message, GRANT_PATH, body, GRANT_TIMEOUT_MS, self._finish_grant
+            message,
+            GRANT_PATH,
+            body,
+            backendmsg.GRANT_TIMEOUT_MS,
+            self._finish_grant,
         )
         call.keeps_after_success = True
         if message.is_renewal:
