--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -11,14 +11,14 @@
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import grantends
 from laburnumlatch.mesh import handovers
 from laburnumlatch.mesh import leaserows
-from laburnumlatch.mesh import ranges
+from laburnumlatch.mesh import reconciling
 
 # The backend server's clock may run 2 % slow, so a grant must be shorter than
 # what is left of the lease.
 HOLD_RATIO = 0.96
-SLOW_CLOCK_RATIO = 0.03
 MIN_HOLD_MS = 300
 # A grant is renewed when this part of its duration has passed.
 RENEW_RATIO = 0.3
@@ -53,7 +53,7 @@
         or reconcile_with != agent.holdings_reconciled_with
     ):
         agent.holdings_reconciled_with = reconcile_with
-        _reconcile(agent, row.plan, backend, now)
+        reconciling.reconcile(agent, row.plan, backend, now)
         _send_due_calls(agent, backend, now)
 
 
@@ -75,24 +75,6 @@
     )
 
 
-def grants_end(agent, now):
-    """Return the latest end, in ms, of grants that the plan does not cover.
-
-    Those are the grants of a former life of the backend server, and all grants
-    while it does not respond.
-    """
-    ends = [now]
-    backend = agent.backend
-    is_up = backend is not None and backend.failed_since is None
-    if not is_up:
-        # Grants sent by an earlier process on this host may still be live.
-        ends.append(agent.started + leaserows.latest_end_ms())
-    for holding in agent.holdings:
-        if not is_up or holding.is_stale:
-            ends.append(_latest_end(holding))
-    return max(ends)
-
-
 def _process_messages(agent, now):
     """Process responses and handovers; return whether there were any."""
     grant_responses = agent.inbox.take(backendmsg.GrantAnswered)
@@ -108,40 +90,6 @@
     )
 
 
-def _reconcile(agent, plan, backend, now):
-    """Add, split and mark holdings so that they match the plan."""
-    _release_former_life(agent, backend)
-    _split_by_plan(agent, plan, backend)
-    for piece in plan.pieces:
-        if _is_assigned(agent, piece, backend) and _is_released(agent, piece):
-            _add_missing(agent, piece)
-        elif piece.former == agent.host_id:
-            handovers.hand_over_if_released(agent, piece, now)
-
-
-def _latest_end(holding):
-    return max(
-        holding.granted_until + int(holding.hold_ms * SLOW_CLOCK_RATIO),
-        holding.unconfirmed_until,
-        _in_flight_end(holding),
-    )
-
-
-def _in_flight_end(holding):
-    """Return the latest end of the grant that is in flight, 0 if none is."""
-    is_releasing = holding.state == leaserows.HoldingState.RELEASING
-    if is_releasing or not holding.ticket:
-        return 0
-    return _unconfirmed_end(
-        holding, holding.sent_at + backendmsg.GRANT_TIMEOUT_MS
-    )
-
-
-def _unconfirmed_end(holding, arrives_by):
-    """Return the latest end of a grant that may arrive until `arrives_by`."""
-    return arrives_by + int(holding.hold_ms * leaserows.LATEST_END_RATIO)
-
-
 def _holding_by_ticket(agent, ticket):
     for holding in agent.holdings:
         if holding.ticket == ticket:
@@ -149,109 +97,6 @@
     return None
 
 
-def _is_assigned(agent, piece, backend):
-    """Return whether the plan assigns a piece to the present backend server."""
-    return piece.host_id == agent.host_id and piece.life == backend.life
-
-
-def _is_released(agent, piece):
-    return not piece.former or _handover_token(agent, piece) is not None
-
-
-def _handover_token(agent, piece):
-    """Return the token received for a piece, None without a handover."""
-    return agent.received_handovers.get((piece.start, piece.end, piece.fence))
-
-
-def _release_former_life(agent, backend):
-    """Release what was granted to a former life of the backend server.
-
-    The new life may have accepted the renewal of such a grant before it
-    announced itself.
-    """
-    for holding in agent.holdings:
-        if holding.life != backend.life:
-            holding.unconfirmed_until = max(
-                holding.unconfirmed_until, _in_flight_end(holding)
-            )
-            holding.life = backend.life
-            holding.is_stale = True
-            holding.ticket = 0
-            holding.retry_at = 0
-            holding.state = leaserows.HoldingState.RELEASING
-
-
-def _split_by_plan(agent, plan, backend):
-    """Split holdings along the plan; release parts of other hosts' pieces."""
-    for key, holding in agent.holdings.items():
-        is_releasing = holding.state == leaserows.HoldingState.RELEASING
-        if is_releasing or holding.ticket:
-            # Wait for the response to a grant that is in flight.
-            continue
-        parts = [
-            (piece, ranges.overlap(piece, holding))
-            for piece in plan.pieces
-            if ranges.overlap(piece, holding)
-        ]
-        kept_parts = [
-            part
-            for piece, part in parts
-            if _is_assigned(agent, piece, backend)
-            and piece.fence == holding.fence
-        ]
-        if kept_parts == [(holding.start, holding.end)]:
-            continue
-        agent.holdings.pop(key)
-        for _piece, part in parts:
-            _add_part(agent, holding, part, part in kept_parts)
-
-
-def _add_part(agent, holding, part, is_kept):
-    """Add a part of a split holding, to be released unless it is kept."""
-    part_holding = leaserows.Holding(
-        service=holding.service,
-        start=part[0],
-        end=part[1],
-        fence=holding.fence,
-        life=holding.life,
-        state=holding.state,
-        hold_ms=holding.hold_ms,
-        granted_until=holding.granted_until,
-        unconfirmed_until=holding.unconfirmed_until,
-    )
-    if not is_kept:
-        part_holding.state = leaserows.HoldingState.RELEASING
-    agent.holdings.put((part[0], holding.fence), part_holding)
-
-
-def _add_missing(agent, piece):
-    """Add holdings for the parts of a piece that no holding covers."""
-    covered = sorted(
-        part
-        for holding in agent.holdings
-        if (part := ranges.overlap(piece, holding))
-    )
-    start = piece.start
-    for part in (*covered, (piece.end + 1, piece.end + 1)):
-        if start < part[0]:
-            _add_holding(agent, piece, start, part[0] - 1)
-        start = max(start, part[1] + 1)
-
-
-def _add_holding(agent, piece, start, end):
-    agent.holdings.put(
-        (start, piece.fence),
-        leaserows.Holding(
-            service=agent.settings.service,
-            start=start,
-            end=end,
-            fence=piece.fence,
-            life=piece.life,
-            handover=_handover_token(agent, piece) or '',
-        ),
-    )
-
-
 def _send_due_calls(agent, backend, now):
     """Send the grants and releases that are due."""
     for holding in agent.holdings:
@@ -325,7 +170,7 @@
     holding.retry_at = now + RETRY_DELAY_MS
     if response.is_accepted is None:
         holding.unconfirmed_until = max(
-            holding.unconfirmed_until, _unconfirmed_end(holding, now)
+            holding.unconfirmed_until, grantends.unconfirmed_end(holding, now)
         )
     _log.warning(
         'grant-not-accepted',
@@ -362,7 +207,7 @@
     if response.is_answered:
         holding.granted_until = 0
         holding.token = response.handover or holding.token
-    end = _latest_end(holding)
+    end = grantends.latest_end(holding)
     if now < end:
         # A grant that got no response may still take effect.
         holding.retry_at = min(end, now + RETRY_DELAY_MS)
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -10,7 +10,7 @@
 """
 
 from laburnumlatch.core import logs
-from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import grantends
 from laburnumlatch.mesh import leaseends
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
@@ -88,7 +88,7 @@
         busy_ms=report.busy_ms,
         done=report.done,
         wait_ms=worktimes.expected_wait_ms(agent),
-        grants_end_ms=max(0, holdings.grants_end(agent, now) - now),
+        grants_end_ms=max(0, grantends.grants_end(agent, now) - now),
         buckets=tuple(buckets),
         held_fences=tuple(
             holding.fence
--- /dev/null
+++ b/laburnumlatch/mesh/reconciling.py
@@ -0,0 +1,125 @@
+"""Makes the holdings of the local backend server match the plan.
+
+A piece of the plan becomes a holding once its former owner has released it. A
+holding, or a part of it, that the plan assigns to another host is to be
+released.
+"""
+
+from laburnumlatch.mesh import grantends
+from laburnumlatch.mesh import handovers
+from laburnumlatch.mesh import leaserows
+from laburnumlatch.mesh import ranges
+
+
+def reconcile(agent, plan, backend, now):
+    """Add, split and mark holdings so that they match the plan."""
+    _release_former_life(agent, backend)
+    _split_by_plan(agent, plan, backend)
+    for piece in plan.pieces:
+        if _is_assigned(agent, piece, backend) and _is_released(agent, piece):
+            _add_missing(agent, piece)
+        elif piece.former == agent.host_id:
+            handovers.hand_over_if_released(agent, piece, now)
+
+
+def _is_assigned(agent, piece, backend):
+    """Return whether the plan assigns a piece to the present backend server."""
+    return piece.host_id == agent.host_id and piece.life == backend.life
+
+
+def _is_released(agent, piece):
+    return not piece.former or _handover_token(agent, piece) is not None
+
+
+def _handover_token(agent, piece):
+    """Return the token received for a piece, None without a handover."""
+    return agent.received_handovers.get((piece.start, piece.end, piece.fence))
+
+
+def _release_former_life(agent, backend):
+    """Release what was granted to a former life of the backend server.
+
+    The new life may have accepted the renewal of such a grant before it
+    announced itself.
+    """
+    for holding in agent.holdings:
+        if holding.life != backend.life:
+            holding.unconfirmed_until = max(
+                holding.unconfirmed_until, grantends.in_flight_end(holding)
+            )
+            holding.life = backend.life
+            holding.is_stale = True
+            holding.ticket = 0
+            holding.retry_at = 0
+            holding.state = leaserows.HoldingState.RELEASING
+
+
+def _split_by_plan(agent, plan, backend):
+    """Split holdings along the plan; release parts of other hosts' pieces."""
+    for key, holding in agent.holdings.items():
+        is_releasing = holding.state == leaserows.HoldingState.RELEASING
+        if is_releasing or holding.ticket:
+            # Wait for the response to a grant that is in flight.
+            continue
+        parts = [
+            (piece, ranges.overlap(piece, holding))
+            for piece in plan.pieces
+            if ranges.overlap(piece, holding)
+        ]
+        kept_parts = [
+            part
+            for piece, part in parts
+            if _is_assigned(agent, piece, backend)
+            and piece.fence == holding.fence
+        ]
+        if kept_parts == [(holding.start, holding.end)]:
+            continue
+        agent.holdings.pop(key)
+        for _piece, part in parts:
+            _add_part(agent, holding, part, part in kept_parts)
+
+
+def _add_part(agent, holding, part, is_kept):
+    """Add a part of a split holding, to be released unless it is kept."""
+    part_holding = leaserows.Holding(
+        service=holding.service,
+        start=part[0],
+        end=part[1],
+        fence=holding.fence,
+        life=holding.life,
+        state=holding.state,
+        hold_ms=holding.hold_ms,
+        granted_until=holding.granted_until,
+        unconfirmed_until=holding.unconfirmed_until,
+    )
+    if not is_kept:
+        part_holding.state = leaserows.HoldingState.RELEASING
+    agent.holdings.put((part[0], holding.fence), part_holding)
+
+
+def _add_missing(agent, piece):
+    """Add holdings for the parts of a piece that no holding covers."""
+    covered = sorted(
+        part
+        for holding in agent.holdings
+        if (part := ranges.overlap(piece, holding))
+    )
+    start = piece.start
+    for part in (*covered, (piece.end + 1, piece.end + 1)):
+        if start < part[0]:
+            _add_holding(agent, piece, start, part[0] - 1)
+        start = max(start, part[1] + 1)
+
+
+def _add_holding(agent, piece, start, end):
+    agent.holdings.put(
+        (start, piece.fence),
+        leaserows.Holding(
+            service=agent.settings.service,
+            start=start,
+            end=end,
+            fence=piece.fence,
+            life=piece.life,
+            handover=_handover_token(agent, piece) or '',
+        ),
+    )
--- a/tests/test_mesh_grants.py
+++ b/tests/test_mesh_grants.py
@@ -5,7 +5,7 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import backendmsg
-from laburnumlatch.mesh import holdings
+from laburnumlatch.mesh import grantends
 from laburnumlatch.mesh import leaserows
 
 TICKET = 70_001
@@ -50,7 +50,7 @@
         fleet, agent, _holding = fleet_with_grant(state)
         sent_at = fleet.now
         while fleet.now < sent_at + backendmsg.GRANT_TIMEOUT_MS:
-            reported = holdings.grants_end(agent, fleet.now)
+            reported = grantends.grants_end(agent, fleet.now)
             assert reported >= sent_at + backendmsg.GRANT_TIMEOUT_MS + HOLD_MS
             fleet.run(50)
 
@@ -65,7 +65,7 @@
         holding.hold_ms = SHORT_HOLD_MS
         fleet.post('b1', backendmsg.GrantAnswered(TICKET + 1, None))
         fleet.run(1)
-        assert holdings.grants_end(agent, fleet.now) >= lost_at + HOLD_MS
+        assert grantends.grants_end(agent, fleet.now) >= lost_at + HOLD_MS
 
     def test_grant_in_flight_to_a_former_life_counts(self):
         """Guards against a grant that the next run of the server takes.
@@ -78,5 +78,5 @@
         fleet.backends['b1'].restart()
         fleet.run(fleetconfig.ANNOUNCEMENT_INTERVAL_MS)
         assert holding.is_stale
-        reported = holdings.grants_end(agent, fleet.now)
+        reported = grantends.grants_end(agent, fleet.now)
         assert reported >= sent_at + backendmsg.GRANT_TIMEOUT_MS + HOLD_MS
