--- a/laburnumlatch/mesh/plandraft.py
+++ b/laburnumlatch/mesh/plandraft.py
@@ -148,6 +148,7 @@
         others = [host for host in self._candidates if host.host_id != former]
         if not others:
             return piece
+        now = self._now
         target = min(others, key=self._relative_load_of)
         share = balancing.load_of(piece, self._rates) / self._total_rate
         capacity = sum(host.capacity for host in self._candidates)
@@ -161,6 +162,7 @@
             owner=piece.host_id,
             next_owner=target.host_id,
             former=former,
+            **_owner_facts(self._agent.lease_holders.get(piece.host_id), now),
         )
         return attrs.evolve(
             piece,
@@ -195,6 +197,22 @@
         return self._now >= leases_end
 
 
+def _owner_facts(holder, now):
+    """Return what decided that an owner is replaced, for a log line.
+
+    `holder` is its `leaserows.LeaseHolder`, None if it never renewed a lease.
+    """
+    if holder is None:
+        return {'contact_age_ms': None}
+    return {
+        'contact_age_ms': now - holder.last_contact,
+        'has_server': holder.life is not None,
+        'is_leaving': holder.is_leaving,
+        'lease_left_ms': max(0, holder.expires - now),
+        'grants_left_ms': max(0, holder.grants_end - now),
+    }
+
+
 def _highest(values):
     """Return the few highest values by name, for a log line."""
     names = heapq.nlargest(MAX_LOGGED_ENTRIES, values, key=values.get)
