Read the body behind a head that offers another protocol

Cause: httptools tells llhttp that a request with an offer has no body, and reports it as complete behind its head. The adapter took that for the end of the request, passed it on, and dropped the rest of the connection.

Change: an offer is ignored (RFC 9110, 7.8). Behind such a head a new parser continues that has read one with the same body and no offer. Whatever the library takes for the end of a message, one place (bodyprogress) now decides whether the announced body is whole: by its length, or by the empty chunk. Without that a request is refused (400) and a response is none. CONNECT gets 501, HTTP/2 505, in place of 404 and 400.

Ruled out: the frames between agents carry a body as one field of one message, whose length is checked; requests to the backend server state the length of what they carry.

--- a/laburnumlatch/platform/requestparser.py
+++ b/laburnumlatch/platform/requestparser.py
@@ -3,6 +3,10 @@
 The parser is llhttp in its strict mode, through httptools. It rejects what
 two parsers could read differently: a repeated length, a length beside chunks,
 line ends without CR, folded lines, and spaces before a colon.
+
+An offer of another protocol (`Upgrade`) is ignored. httptools ends a request
+with one behind its head, whatever body that announces, so the rest is read by a
+new parser.
 """
 
 import abc
@@ -12,6 +16,7 @@
 import httptools
 
 from laburnumlatch.core import errors
+from laburnumlatch.platform import bodyprogress
 from laburnumlatch.platform import fields as fields_module
 
 # Bytes are parsed in small pieces, because httptools cannot stop between two
@@ -19,7 +24,11 @@
 HEAD_PIECE_BYTES = 1024
 BODY_PIECE_BYTES = 65_536
 OLD_VERSION = '1.0'
+VERSIONS = (OLD_VERSION, '1.1')
 CHUNKED = 'chunked'
+TUNNEL_METHOD = 'CONNECT'
+# The method that an HTTP/2 connection seems to begin with.
+PREFACE_METHOD = b'PRI'
 
 
 class MalformedRequestError(errors.LaburnumlatchError):
@@ -86,8 +95,9 @@
         self._is_last = False
         self._is_ended = False
         self._problem = None
-        # Bytes of the body that are still to come, if its length is known.
-        self._body_bytes = 0
+        self._body = bodyprogress.announced(())
+        # Whether a head is parsed that stands for one with an offer.
+        self._is_resuming = False
         # Bytes parsed since the request began, or since its last body bytes.
         self._pending_bytes = 0
 
@@ -99,7 +109,8 @@
     @property
     def piece_bytes(self):
         """How many bytes to pass to `feed` at a time."""
-        return max(HEAD_PIECE_BYTES, min(self._body_bytes, BODY_PIECE_BYTES))
+        missing_bytes = self._body.missing_bytes
+        return max(HEAD_PIECE_BYTES, min(missing_bytes, BODY_PIECE_BYTES))
 
     def feed(self, piece):
         """Parse bytes; raise `MalformedRequestError` if they are invalid.
@@ -110,13 +121,10 @@
             return
         self._pending_bytes += len(piece)
         try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            # The request was read; what follows is of another protocol.
-            self._is_ended = True
+            self._parse(piece)
         except httptools.HttpParserError as error:
             if not self._is_ended:
-                self._fail(http.HTTPStatus.BAD_REQUEST, str(error))
+                self._fail_as_unreadable(error)
         if self._pending_bytes > self.max_head_bytes:
             self._fail_as_too_long()
         if self._problem is not None:
@@ -124,6 +132,8 @@
 
     def on_message_begin(self):
         """Start a head; called by httptools."""
+        if self._is_resuming:
+            return
         self._is_in_head = True
         self._pending_bytes = 0
         self._target = b''
@@ -143,13 +153,12 @@
 
     def on_headers_complete(self):
         """Check the head and pass it on; called by httptools."""
-        if self._problem is not None:
+        if self._problem is not None or self._is_resuming:
             return
         parser = self._parser
         keeps_alive = (
             parser.should_keep_alive()
             and parser.get_http_version() != OLD_VERSION
-            and not parser.should_upgrade()
         )
         head = RequestHead(
             parser.get_method().decode('ascii'),
@@ -162,28 +171,69 @@
             self._is_in_head = False
             self._is_in_body = True
             self._is_last = not keeps_alive
-            self._body_bytes = int(head.get('Content-Length', '0'))
+            self._body = bodyprogress.announced(head.fields)
             self._sink.head_received(head)
 
     def on_body(self, chunk):
         """Pass on bytes of the body; called by httptools."""
         if self._problem is None:
             self._pending_bytes = 0
-            self._body_bytes -= len(chunk)
+            self._body.add(chunk)
             self._sink.body_received(chunk)
 
+    def on_chunk_complete(self):
+        """Note the end of a chunk of the body; called by httptools."""
+        self._body.end_chunk()
+
     def on_message_complete(self):
         """Pass on the end of a request; called by httptools."""
-        if self._problem is None:
-            self._is_in_body = False
-            self._pending_bytes = 0
-            self._body_bytes = 0
-            self._is_ended = self._is_last
-            self._sink.request_complete()
+        if self._problem is not None or self._parser.should_upgrade():
+            return
+        if not self._body.is_whole:
+            self._fail(http.HTTPStatus.BAD_REQUEST, 'the body is not whole')
+            return
+        self._is_in_body = False
+        self._pending_bytes = 0
+        self._is_ended = self._is_last
+        self._sink.request_complete()
+
+    def _parse(self, piece):
+        """Parse bytes, also behind heads with offers."""
+        while piece:
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade as offer:
+                piece = piece[offer.args[0] :]
+            else:
+                return
+            if self._problem is not None:
+                return
+            self._resume_behind_offer()
+
+    def _resume_behind_offer(self):
+        """Replace the parser by one that has read a head without the offer."""
+        self._parser = httptools.HttpRequestParser(self)
+        fields = [('Host', ''), ('Transfer-Encoding', CHUNKED)]
+        if self._body.announced_bytes is not None:
+            fields[1] = ('Content-Length', str(self._body.announced_bytes))
+        if self._is_last:
+            fields.append(('Connection', 'close'))
+        self._is_resuming = True
+        self._parser.feed_data(
+            fields_module.encode_head('POST / HTTP/1.1', fields)
+        )
+        self._is_resuming = False
 
     def _check(self, head):
         hosts = [name for name, _text in head.fields if name.lower() == 'host']
         is_old = self._parser.get_http_version() == OLD_VERSION
+        if self._parser.get_http_version() not in VERSIONS:
+            self._fail(
+                http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+                'only HTTP/1.1 and HTTP/1.0 are spoken here',
+            )
+        if head.method == TUNNEL_METHOD:
+            self._fail(http.HTTPStatus.NOT_IMPLEMENTED, 'no tunnels here')
         if len(hosts) > 1 or not (hosts or is_old):
             self._fail(http.HTTPStatus.BAD_REQUEST, 'not one Host field')
         if head.get('Transfer-Encoding', CHUNKED).lower() != CHUNKED:
@@ -191,6 +241,15 @@
                 http.HTTPStatus.NOT_IMPLEMENTED, 'unknown transfer encoding'
             )
 
+    def _fail_as_unreadable(self, error):
+        if self._parser.get_method() == PREFACE_METHOD:
+            self._fail(
+                http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+                'HTTP/2 is not spoken here',
+            )
+        else:
+            self._fail(http.HTTPStatus.BAD_REQUEST, str(error))
+
     def _fail_as_too_long(self):
         if self._is_in_head:
             status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/laburnumlatch/platform/responseparser.py
+++ b/laburnumlatch/platform/responseparser.py
@@ -9,6 +9,7 @@
 import httptools
 
 from laburnumlatch.core import errors
+from laburnumlatch.platform import bodyprogress
 from laburnumlatch.platform import fields as fields_module
 
 # Far above any head of a response; more than this without its end, or without
@@ -16,6 +17,8 @@
 MAX_HEAD_BYTES = 65_536
 PIECE_BYTES = 65_536
 MAX_INTERIM_STATUS = 199
+# Statuses of responses that have no body, whatever length they announce.
+BODILESS_STATUSES = frozenset((204, 304))
 CHUNKED = 'chunked'
 
 
@@ -72,7 +75,8 @@
         self._is_interim = False
         self._is_in_head = False
         self._is_in_response = False
-        self._has_unknown_encoding = False
+        self._problem = ''
+        self._body = bodyprogress.announced(())
         # Bytes parsed since the response began, or since its last body bytes.
         self._pending_bytes = 0
 
@@ -96,8 +100,8 @@
                 raise MalformedResponseError(str(error)) from error
             if self._pending_bytes > MAX_HEAD_BYTES:
                 raise MalformedResponseError('a head or trailer without end')
-            if self._has_unknown_encoding:
-                raise MalformedResponseError('an unknown transfer encoding')
+            if self._problem:
+                raise MalformedResponseError(self._problem)
 
     def on_message_begin(self):
         """Start a head; called by httptools."""
@@ -126,8 +130,10 @@
         encoding = fields_module.get(fields, 'Transfer-Encoding')
         length = fields_module.get(fields, 'Content-Length')
         if encoding is not None and encoding.lower() != CHUNKED:
-            self._has_unknown_encoding = True
+            self._problem = 'an unknown transfer encoding'
             return
+        has_body = status not in BODILESS_STATUSES
+        self._body = bodyprogress.announced(fields if has_body else ())
         self._sink.head_received(
             ResponseHead(
                 status,
@@ -140,11 +146,20 @@
     def on_body(self, chunk):
         """Pass on bytes of the body; called by httptools."""
         self._pending_bytes = 0
+        self._body.add(chunk)
         self._sink.body_received(chunk)
 
+    def on_chunk_complete(self):
+        """Note the end of a chunk of the body; called by httptools."""
+        self._body.end_chunk()
+
     def on_message_complete(self):
         """Pass on the end of a response; called by httptools."""
         self._pending_bytes = 0
         self._is_in_response = self._is_interim
-        if not self._is_interim:
+        if self._is_interim or self._problem:
+            return
+        if self._body.is_whole:
             self._sink.response_complete()
+        else:
+            self._problem = 'the body is not whole'
