Measure what large bodies cost in two agents

bench gets three cases: peak memory of both agents over the size of an upload and of a response, and the 99th percentile of lookups beside uploads of 8 MB.

--- a/laburnumlatch/experiments/bench.py
+++ b/laburnumlatch/experiments/bench.py
@@ -7,6 +7,7 @@
 import logbook
 
 from laburnumlatch.core import wire
+from laburnumlatch.experiments import bodybench
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
@@ -285,4 +286,11 @@
         frontbench.DEPTHS,
         frontbench.request_us,
     ),
+    ('copies of an upload in two agents, MB', (8, 40), bodybench.upload_copies),
+    (
+        'copies of a response in two agents, MB',
+        (8, 40),
+        bodybench.download_copies,
+    ),
+    ('lookup ms, 99 %, beside uploads', (0, 1, 2), bodybench.lookup_ms),
 )
