Send responses that are being taken to their end before a stop

Cause: a response counted as delivered once it was handed to the transport. The stop waited until no request was open, then 0.1 s for what callers had not taken, and not at all for other agents.

Bytes in the kernel count as not taken. An upload that is read in part is refused as not run then.

Requests of other agents that await their responses have a module of their own.

--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -69,6 +69,13 @@
             self.hold(waiter.size)
             waiter.go_on()
 
+    def adjust(self, more_bytes):
+        """Hold bytes, or release them if the number is negative."""
+        if more_bytes > 0:
+            self.hold(more_bytes)
+        else:
+            self.release(-more_bytes)
+
     def hold_when_free(self, size, go_on):
         """Hold bytes once they are free, and then call `go_on()`.
 
--- a/laburnumlatch/core/frontends.py
+++ b/laburnumlatch/core/frontends.py
@@ -1,6 +1,7 @@
 """The interface between the loop and the parts that own sockets."""
 
 import abc
+import asyncio
 
 
 class FrontEnd(abc.ABC):
@@ -19,9 +20,16 @@
     async def start(self):
         """Open the sockets; raise OSError if an address cannot be bound."""
 
+    async def drain(self, ends_at):
+        """Wait until responses have been taken, by `ends_at` at the latest.
+
+        `ends_at` is in ms of the agent's clock. Most front ends have none.
+        """
+        await asyncio.sleep(0)
+
     @abc.abstractmethod
     async def stop(self):
-        """Close the sockets once all pending responses have been written."""
+        """Close the sockets; what has not been taken is cut off."""
 
     @abc.abstractmethod
     def carry_out(self, message):
--- /dev/null
+++ b/laburnumlatch/core/sockets.py
@@ -0,0 +1,34 @@
+"""Options of TCP connections."""
+
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+
+# Bytes that the kernel takes ahead of what the network can send. What it has
+# taken tells nothing about the other side, and later bytes wait behind it.
+MAX_UNSENT_BYTES = 65_536
+_INT = struct.Struct('i')
+
+
+def limit_unsent(transport):
+    """Let the kernel take little more than it can send at once."""
+    opened = transport.get_extra_info('socket')
+    # Not every platform has this option.
+    with contextlib.suppress(OSError):
+        opened.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
+        )
+
+
+def queued_bytes(transport):
+    """Return the bytes in the kernel that the other side has not got yet.
+
+    It is 0 where the platform does not tell.
+    """
+    opened = transport.get_extra_info('socket')
+    with contextlib.suppress(OSError):
+        queued = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+        return _INT.unpack(queued)[0]
+    return 0
--- a/laburnumlatch/mesh/bodyparts.py
+++ b/laburnumlatch/mesh/bodyparts.py
@@ -40,6 +40,11 @@
         """Return the number of bodies."""
         return len(self._bodies)
 
+    @property
+    def left_bytes(self):
+        """How many bytes have not been taken."""
+        return sum(len(outgoing.left) for outgoing in self._bodies.values())
+
     def __contains__(self, key):
         """Return whether a body has not been sent to its end."""
         return key in self._bodies
--- a/laburnumlatch/mesh/frames.py
+++ b/laburnumlatch/mesh/frames.py
@@ -11,13 +11,12 @@
 
 import abc
 import asyncio
-import contextlib
-import socket
 import struct
 import zlib
 
 from laburnumlatch.core import errors
 from laburnumlatch.core import logs
+from laburnumlatch.core import sockets
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import bodyparts
 from laburnumlatch.mesh import deflating
@@ -26,9 +25,6 @@
 _LENGTH = struct.Struct('>I')
 # The largest body of a request, plus space for its head.
 MAX_FRAME_BYTES = 75_497_472
-# Bytes that the kernel takes ahead of what the network can send: other frames
-# wait behind them, and what it has taken tells nothing about the other side.
-MAX_UNSENT_BYTES = 65_536
 
 _log = logs.logger('peers')
 _codec = wire.Codec(peermsg.KINDS)
@@ -67,12 +63,7 @@
     def connection_made(self, transport):
         """Store the transport of the new connection."""
         self.transport = transport
-        opened = transport.get_extra_info('socket')
-        # Not every platform has this option.
-        with contextlib.suppress(OSError):
-            opened.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
-            )
+        sockets.limit_unsent(transport)
 
     def pause_writing(self):
         """Send no parts of bodies for now; called by asyncio."""
@@ -89,11 +80,9 @@
         return self._written_bytes - self.transport.get_write_buffer_size()
 
     @property
-    def has_backlog(self):
-        """Whether bytes wait to leave the process."""
-        return bool(
-            len(self.outgoing) or self.transport.get_write_buffer_size()
-        )
+    def unsent_bytes(self):
+        """How many bytes wait to leave the process."""
+        return self.outgoing.left_bytes + self.transport.get_write_buffer_size()
 
     def data_received(self, chunk):
         """Handle all complete messages; abort the connection on bad input."""
--- a/laburnumlatch/mesh/inbound.py
+++ b/laburnumlatch/mesh/inbound.py
@@ -57,14 +57,20 @@
         """Handle a message by its class."""
         self._handlers[type(message)](message)
 
+    def connection_made(self, transport):
+        """Join the connections of the link; called by asyncio."""
+        super().connection_made(transport)
+        self._link.inbound_connections.add(self)
+
     def connection_lost(self, error):
         """Cancel the requests whose responses cannot be sent any more."""
+        self._link.inbound_connections.discard(self)
         self.incoming.clear()
         self.outgoing.clear()
         numbers = tuple(self.open_requests.values())
         self.open_requests.clear()
         for number in numbers:
-            self._link.cancel_request(number)
+            self._link.received.cancel(number)
 
     def send_answer(self, key, reply):
         """Send the response of a `messages.ReplyAnswer`."""
@@ -102,7 +108,7 @@
                 _AnnouncedRequest(message, received_at, waited_ms)
             )
         else:
-            self._link.accept_request(self, message.forward, waited_ms)
+            self._link.received.accept(self, message.forward, waited_ms)
 
     def _expect_body(self, announced):
         """Collect the body of a request, if there is room for it.
@@ -139,7 +145,7 @@
             return
         announced, body = whole
         took_ms = self._link.now() - announced.received_at
-        self._link.accept_request(
+        self._link.received.accept(
             self,
             attrs.evolve(announced.ask.forward, body=body),
             announced.waited_ms + took_ms,
@@ -151,7 +157,7 @@
         self.outgoing.drop(key)
         number = self.open_requests.pop(key, None)
         if number is not None:
-            self._link.cancel_request(number)
+            self._link.received.cancel(number)
 
     def _handle_ping(self, _message):
         self.send(peermsg.Pong())
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -42,7 +42,7 @@
     if is_open and now >= since + SERVE_CALLERS_MS and _is_done(agent, now):
         agent.closing_since = now
     if now >= latest_end or _has_closed(agent, now):
-        agent.outbox.post(messages.Stopped())
+        agent.outbox.post(messages.Stopped(latest_end))
         return
     agent.wake_at(min(latest_end, now + _pause_ms(agent)))
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -322,4 +322,10 @@
 
 @attrs.define(frozen=True)
 class Stopped:
-    """The agent has finished, or its grace period is over; exit now."""
+    """All requests have ended, or the grace period is over: end the process.
+
+    Responses that are still being taken may be sent until `ends_at`, in ms of
+    the agent's clock.
+    """
+
+    ends_at: int
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -108,7 +108,9 @@
         if self.transport is None:
             return
         step = self._silence.check(
-            self._link.now(), self.taken_bytes, has_backlog=self.has_backlog
+            self._link.now(),
+            self.taken_bytes,
+            has_backlog=bool(self.unsent_bytes),
         )
         if step == peersilence.Step.ABORT:
             _log.warning(
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -6,10 +6,9 @@
 
 import asyncio
 
-import attrs
-
 from laburnumlatch.core import addresses
 from laburnumlatch.core import clock
+from laburnumlatch.core import draining
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
 from laburnumlatch.core import tasks
@@ -19,6 +18,7 @@
 from laburnumlatch.mesh import outbound
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import planmsg
+from laburnumlatch.mesh import receivedrequests
 
 CHECK_INTERVAL_MS = 100
 LISTEN_BACKLOG = 512
@@ -26,19 +26,6 @@
 _log = logs.logger('peers')
 
 
-@attrs.define(frozen=True)
-class _ReceivedRequest:
-    """A request of another agent that awaits its response.
-
-    `number` and `exchange` identify it at that agent.
-    """
-
-    connection: inbound.InboundConnection
-    number: int
-    exchange: int
-    body_bytes: int
-
-
 class PeerLink(frontends.FrontEnd):
     """Sends requests, plans and responses to other agents."""
 
@@ -63,13 +50,14 @@
         self.tasks = tasks.Tasks()
         self._address = address
         self._clock = time_source
-        self._numbers = numbers
+        self.received = receivedrequests.ReceivedRequests(
+            post, numbers, time_source, memory
+        )
         self._host_id = host_id
         self._server = None
         # Outbound connections by host.
         self._connections = {}
-        # `_ReceivedRequest`s by their number in this agent.
-        self._received_requests = {}
+        self.inbound_connections = set()
         # The newest frame of each service and class of frame.
         self._plan_frames = {}
         self._check_timer = None
@@ -94,6 +82,11 @@
         )
         self._schedule_check()
 
+    async def drain(self, ends_at):
+        """Wait until other agents have taken the responses to them."""
+        drain = draining.Drain(self._read_unsent, self._clock)
+        await drain.wait(ends_at)
+
     async def stop(self):
         """Stop listening and close all outbound connections."""
         self._check_timer.cancel()
@@ -117,38 +110,11 @@
         """Return a new greeting, the first frame on a connection."""
         return peermsg.Hello(self._host_id, self.now(), reads_parts=True)
 
-    def accept_request(self, connection, forward, waited_ms):
-        """Pass on a whole request of another agent, delayed by `waited_ms`."""
-        number = next(self._numbers)
-        received = _ReceivedRequest(
-            connection, forward.number, forward.exchange, len(forward.body)
-        )
-        self._received_requests[number] = received
-        self.memory.hold(received.body_bytes)
-        connection.open_requests[forward.number, forward.exchange] = number
-        self._post(
-            messages.ForwardArrived(
-                number, connection.host_id, forward, self.now(), waited_ms
-            )
-        )
-
-    def cancel_request(self, number):
-        """Cancel a received request whose response is no longer needed."""
-        if self._take_received(number) is not None:
-            self._post(messages.ForwardCanceled(number))
-
     def remove_connection(self, host_id, connection):
         """Remove an outbound connection that has ended."""
         if self._connections.get(host_id) is connection:
             self._connections.pop(host_id)
 
-    def _take_received(self, number):
-        """Remove and return a `_ReceivedRequest`, None if it has ended."""
-        received = self._received_requests.pop(number, None)
-        if received is not None:
-            self.memory.release(received.body_bytes)
-        return received
-
     def _send_request(self, message):
         connection = self._connection_to(message.host_id, message.address)
         connection.send_request(message.forward)
@@ -187,7 +153,7 @@
         return connection
 
     def _send_response(self, message):
-        received = self._take_received(message.number)
+        received = self.received.take(message.number)
         if received is None or received.connection.transport.is_closing():
             _log.info('reply-dropped', number=message.number)
             return
@@ -206,6 +172,14 @@
                 )
             )
 
+    def _read_unsent(self):
+        """Return the bytes of responses that have not left, by connection."""
+        return {
+            connection: connection.unsent_bytes
+            for connection in self.inbound_connections
+            if connection.unsent_bytes
+        }
+
     def _schedule_check(self):
         self._check_timer = asyncio.get_running_loop().call_later(
             CHECK_INTERVAL_MS / clock.MS_PER_S, self._check
--- a/laburnumlatch/platform/callerconnection.py
+++ b/laburnumlatch/platform/callerconnection.py
@@ -38,7 +38,7 @@
         self.number = number
         self._front = front
         self._transport = None
-        self._exchanges = callerexchanges.ExchangeQueue(front.count_buffered)
+        self._exchanges = callerexchanges.ExchangeQueue(front.memory.adjust)
         self._reader = requestreader.RequestReader(front, self, self._exchanges)
         self._active_at = front.now
         self._unsent_bytes = 0
@@ -50,15 +50,16 @@
         return self._output.is_paused
 
     @property
-    def is_busy(self):
-        """Whether a request is not answered yet, or a response not sent."""
-        return bool(len(self._exchanges) or self._output.unsent_bytes)
+    def unsent_bytes(self):
+        """Bytes of responses on the way to the caller, None if none is due."""
+        unsent_bytes = self._output.unsent_bytes + self._output.queued_bytes
+        return unsent_bytes if unsent_bytes or len(self._exchanges) else None
 
     def connection_made(self, transport):
         """Join the connections of the front end; called by asyncio."""
         self._transport = transport
         self._output = calleroutput.CallerOutput(
-            transport, self._front.count_buffered, self._parse
+            transport, self._front.memory.adjust, self._parse
         )
         self._front.add_connection(self)
 
@@ -98,6 +99,10 @@
         """Read no further request if one is open, and close behind the last."""
         self._reader.end_behind_open_requests()
 
+    def refuse_unread(self):
+        """Refuse a request that was read in part, as not run."""
+        self._reader.refuse_unread()
+
     def check_time(self, limits):
         """Close the connection if the caller takes too long.
 
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -7,6 +7,7 @@
 
 from laburnumlatch.core import addresses
 from laburnumlatch.core import clock
+from laburnumlatch.core import draining
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import configmsg
@@ -17,9 +18,6 @@
 from laburnumlatch.platform import wire
 
 BACKLOG = 1024
-STOP_POLL_S = 0.02
-# The platform kills a process that takes longer to stop.
-MAX_STOP_POLLS = 5
 # Time between two checks for callers who take too long.
 CHECK_INTERVAL_S = 0.5
 KEY_COUNT = 65_536
@@ -56,7 +54,7 @@
         self._connections = {}
         self._open_exchanges = {}
         self._server = None
-        self._memory = memory
+        self.memory = memory
         self._limits = routes.Limits()
         self._check_timer = None
         self._is_stopping = False
@@ -90,19 +88,32 @@
         )
         self._check_times()
 
+    async def drain(self, ends_at):
+        """Wait until callers have taken their responses.
+
+        All requests that were read whole have ended. One that is being read is
+        refused: it would be, too, when its body is whole.
+        """
+        for connection in tuple(self._connections.values()):
+            connection.refuse_unread()
+        drain = draining.Drain(self._read_unsent, self._clock)
+        await drain.wait(ends_at)
+
     async def stop(self):
-        """Stop listening, and close connections once responses are sent.
+        """Stop listening and close all connections.
 
-        Requests still open after `MAX_STOP_POLLS` polls are cut off.
+        Responses that have not been taken are cut off.
         """
         self._server.close()
         self._check_timer.cancel()
-        polls = 0
-        while self._is_busy() and polls < MAX_STOP_POLLS:
-            polls += 1
-            await asyncio.sleep(STOP_POLL_S)
-        if self._open_exchanges:
-            _log.error('requests-cut-off', requests=len(self._open_exchanges))
+        unsent = self._read_unsent()
+        if self._open_exchanges or unsent:
+            _log.error(
+                'requests-cut-off',
+                requests=len(self._open_exchanges),
+                connections=len(unsent),
+                unsent_bytes=sum(unsent.values()),
+            )
         for connection in tuple(self._connections.values()):
             connection.close()
 
@@ -157,17 +168,6 @@
         """Forget a closed connection."""
         self._connections.pop(connection.number, None)
 
-    def can_buffer(self, more_bytes):
-        """Return whether there is memory for `more_bytes` of requests."""
-        return self._memory.fits_request(more_bytes)
-
-    def count_buffered(self, more_bytes):
-        """Count bytes as in memory; negative if they were freed."""
-        if more_bytes > 0:
-            self._memory.hold(more_bytes)
-        else:
-            self._memory.release(-more_bytes)
-
     def post_request(self, exchange, body, read_at):
         """Post a complete request, read at `read_at`, to the systems."""
         head = exchange.head
@@ -205,10 +205,13 @@
             self, next(self._connection_numbers)
         )
 
-    def _is_busy(self):
-        return any(
-            connection.is_busy for connection in self._connections.values()
-        )
+    def _read_unsent(self):
+        """Return the bytes that callers are to take, by connection."""
+        return {
+            number: connection.unsent_bytes
+            for number, connection in self._connections.items()
+            if connection.unsent_bytes is not None
+        }
 
     def _check_times(self):
         """Close connections whose callers take too long; check again later."""
--- a/laburnumlatch/platform/calleroutput.py
+++ b/laburnumlatch/platform/calleroutput.py
@@ -1,6 +1,7 @@
 """Output of a caller's connection."""
 
 from laburnumlatch.core import piecewriter
+from laburnumlatch.core import sockets
 
 
 class CallerOutput:
@@ -41,6 +42,11 @@
         """Bytes that have not left the process."""
         return self._writer.unsent_bytes
 
+    @property
+    def queued_bytes(self):
+        """Bytes that have left the process, and not arrived."""
+        return sockets.queued_bytes(self._transport)
+
     def pause(self):
         """Hand over no more: the transport is full."""
         self._is_transport_full = True
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -87,6 +87,11 @@
                 self._exchanges.drop_last()
             self.end()
 
+    def refuse_unread(self):
+        """Refuse a request that was read in part, and read no more."""
+        if self.receiving is not None:
+            self._refuse(messages.Verdict.NOT_RUN, messages.Reason.STOPPING)
+
     def reject(self, status, detail):
         """Answer bytes that are no request, and read no more."""
         exchange = self.receiving
@@ -103,7 +108,7 @@
             return
         announced_bytes = bodyprogress.announced(head.fields).announced_bytes
         size = announced_bytes or 0
-        has_room = not size or self._front.can_buffer(size)
+        has_room = not size or self._front.memory.fits_request(size)
         is_too_large = size > self._front.limits.body_bytes
         is_refused = is_too_large or not has_room
         exchange = self._exchanges.append(
@@ -128,7 +133,7 @@
         is_counted = size <= exchange.buffered_bytes
         if size > self._front.limits.body_bytes:
             self._refuse(messages.Verdict.TOO_LARGE, messages.Reason.TOO_LARGE)
-        elif is_counted or self._front.can_buffer(len(chunk)):
+        elif is_counted or self._front.memory.fits_request(len(chunk)):
             self._exchanges.add_to_body(exchange, chunk)
         else:
             self._refuse(messages.Verdict.NOT_RUN, messages.Reason.NO_MEMORY)
@@ -155,7 +160,7 @@
         return not len(self._exchanges) or (
             len(self._exchanges) < MAX_PIPELINED
             and self._exchanges.buffered_bytes <= MAX_BUFFERED_BYTES
-            and self._front.can_buffer(0)
+            and self._front.memory.fits_request(0)
         )
 
     def _refuse(self, verdict, reason):
@@ -175,7 +180,7 @@
         if self.is_ended:
             self._read_ahead.clear()
         size = len(self._read_ahead)
-        self._front.count_buffered(size - self._counted_bytes)
+        self._front.memory.adjust(size - self._counted_bytes)
         self._counted_bytes = size
         if self.is_ended or not self._parser.is_in_head:
             self._head_since = None
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -57,7 +57,8 @@
         self._engine.register_front_ends(self._front_ends)
         self._steady_wall_clock = clock.SteadyWallClock()
         self._wall_offset_ms = 0
-        self._stopped = asyncio.Event()
+        # Set to when the process must have ended, once all requests have.
+        self._stopped = asyncio.get_running_loop().create_future()
         self._settings_watch = settingswatch.SettingsWatch(
             path, self._engine.post
         )
@@ -76,7 +77,10 @@
         self._engine.wake()
         self._settings_watch.start()
         self._check_time_of_day()
-        await self._stopped.wait()
+        ends_at = await self._stopped
+        await asyncio.gather(
+            *(draining.drain(ends_at) for draining in self._front_ends)
+        )
         _log.info('stopped', host=settings.host_id)
         for front_end in self._front_ends:
             await front_end.stop()
@@ -126,8 +130,9 @@
             TIME_CHECK_INTERVAL_S, self._check_time_of_day
         )
 
-    def _on_stopped(self, _message):
-        self._stopped.set()
+    def _on_stopped(self, message):
+        if not self._stopped.done():
+            self._stopped.set_result(message.ends_at)
 
 
 def run(path):
