Keep which runs of a backend server have left

A late deregistration of an earlier run drained the next one.

Cause: a departure was kept by the server's name, in the row of the host, which a restarted agent overwrote after 3 s without a check-in; it was acknowledged before it was written; and a deregistration counted for whatever ran under the name.

A restarted agent reads them before it starts work, and takes no earlier run than that of its host's row for a new one.

--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -36,8 +36,10 @@
       requests.
     - `deadlines`, `placements`: numbers of requests by the time at which
       they expire or a host is chosen for them again.
-    - `departures`: `rows.Departure`, the announcement of a backend server
-      that it leaves, by server ID.
+    - `departures`: `rows.Departure` by `ranges.Life`, the runs of the backend
+      server that have left; `named_departures`: `rows.NamedDeparture` by
+      server ID; `departure_calls`: calls that wait until `departure_log` has
+      them, with the time at which they are answered at the latest.
     - `split_credits`: the state of the weighted round robin, by route.
     - `work_times`, `throttles`, `retry_windows`: what is learned about
       routes and services from finished requests.
@@ -78,6 +80,9 @@
     deadlines: tables.DueQueue = attrs.Factory(tables.DueQueue)
     placements: tables.DueQueue = attrs.Factory(tables.DueQueue)
     departures: tables.Table = attrs.Factory(tables.Table)
+    named_departures: tables.Table = attrs.Factory(tables.Table)
+    departure_calls: tables.Table = attrs.Factory(tables.Table)
+    departure_log: rows.DepartureLog = attrs.Factory(rows.DepartureLog)
     split_credits: tables.Table = attrs.Factory(tables.Table)
     work_times: tables.Table = attrs.Factory(tables.Table)
     throttles: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -33,13 +33,15 @@
 class BackendLeft:
     """The backend server with this identity announced that it is leaving.
 
-    `announced_at` is in ms of Unix time, like the start of a life, by a clock
-    that follows no jump of the time of day.
+    `born` is the start of the run that leaves, None if it did not say.
+    `announced_at` is in ms of Unix time, too, by a clock that follows no jump
+    of the time of day.
     """
 
     call_number: int
     server_id: str
     announced_at: int
+    born: int | None = None
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -18,6 +18,9 @@
         return
     if agent.configuration is None or admission.is_closed(backend, now):
         return
+    if not agent.departure_log.is_known:
+        # An earlier process may have acknowledged that the server leaves.
+        return
     free_slots = backend.slots - backend.running
     if free_slots <= 0:
         return
--- a/laburnumlatch/mesh/ownserver.py
+++ b/laburnumlatch/mesh/ownserver.py
@@ -7,6 +7,8 @@
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import departures
+from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
 
 # The agent stops sending this long before the drain time ends, so that requests
@@ -15,8 +17,8 @@
 # A backend server that has not announced itself for this time, several times
 # the usual interval, may have ended without notice.
 SILENT_MS = 4000
-# Number of leaving backend servers whose identities are kept.
-MAX_DEPARTURES = 20
+# Number of leaving backend servers of which only the identities are known.
+MAX_NAMED_DEPARTURES = 20
 
 _log = logs.logger('members')
 
@@ -28,14 +30,9 @@
     )
     for message in messages:
         if isinstance(message, backendmsg.BackendLeft):
-            is_accepted = _process_departure(agent, message, now)
+            _process_departure(agent, message, now)
         else:
-            is_accepted = _process_announcement(agent, message, now)
-            outcome = 'accepted' if is_accepted else 'refused'
-            counting.count(agent, 'announcements', outcome=outcome)
-        agent.outbox.post(
-            backendmsg.AnnouncementAnswered(message.call_number, is_accepted),
-        )
+            _process_announcement(agent, message, now)
     closing_at = None if agent.backend is None else agent.backend.closing_at
     if closing_at is not None and now < closing_at:
         agent.wake_at(closing_at)
@@ -47,34 +44,70 @@
     `record` is this host's row of the store, a `rows.HostRecord`. The drain
     time began before that process ended, so the server gets no more work.
     """
-    backend = agent.backend
-    if backend is None or backend.closing_at is not None:
-        return
-    is_leaving = record.state == rows.HostState.DRAINING
-    if is_leaving and record.life == backend.life:
-        _close_at(backend, now)
+    if record.state == rows.HostState.DRAINING and record.life is not None:
+        departures.record(agent, record.life, now)
+        departures.close_if_departed(agent)
 
 
 def _process_departure(agent, departure, now):
     """Drain the leaving server, and record its departure.
 
-    The record is for a server whose first announcement has not arrived yet.
+    The record is also for announcements of it that come later.
     """
-    backend = agent.backend
     closing_at = now + _drain_ms(agent)
-    if backend is not None and backend.life.server_id == departure.server_id:
-        _start_draining(agent, now)
-        closing_at = backend.closing_at
-    agent.departures.put(
+    life = _departing_life(agent, departure)
+    if life is None:
+        _record_name(agent, departure, closing_at)
+        _answer(agent, departure, is_accepted=True)
+        return
+    departures.record(agent, life, closing_at)
+    departures.close_if_departed(agent)
+    departures.answer_when_saved(agent, departure.call_number, now)
+
+
+def _departing_life(agent, departure):
+    """Return the run that leaves; None if the server did not say which."""
+    if departure.born is not None:
+        return ranges.Life(departure.server_id, departure.born)
+    backend = agent.backend
+    if backend is None or backend.life.server_id != departure.server_id:
+        return None
+    return backend.life
+
+
+def _record_name(agent, departure, closing_at):
+    agent.named_departures.put(
         departure.server_id,
-        rows.Departure(departure.announced_at, closing_at),
+        rows.NamedDeparture(departure.announced_at, closing_at),
+    )
+    while len(agent.named_departures) > MAX_NAMED_DEPARTURES:
+        agent.named_departures.pop(agent.named_departures.keys()[0])
+
+
+def _answer(agent, message, *, is_accepted):
+    agent.outbox.post(
+        backendmsg.AnnouncementAnswered(message.call_number, is_accepted)
     )
-    while len(agent.departures) > MAX_DEPARTURES:
-        agent.departures.pop(agent.departures.keys()[0])
-    return True
 
 
 def _process_announcement(agent, announcement, now):
+    """Update the row of the backend server, and answer the call.
+
+    If the server is leaving, that is answered like a departure.
+    """
+    is_accepted = _accept(agent, announcement, now)
+    outcome = 'accepted' if is_accepted else 'refused'
+    counting.count(agent, 'announcements', outcome=outcome)
+    if is_accepted and announcement.is_draining:
+        closing_at = now + _drain_ms(agent)
+        departures.record(agent, announcement.life, closing_at)
+        departures.close_if_departed(agent)
+        departures.answer_when_saved(agent, announcement.call_number, now)
+    else:
+        _answer(agent, announcement, is_accepted=is_accepted)
+
+
+def _accept(agent, announcement, now):
     """Update the row of the backend server; return whether to accept the call.
 
     An announcement from another agent's backend server is refused.
@@ -93,7 +126,7 @@
         )
         return False
     backend = agent.backend
-    if backend is not None and _is_outdated(backend, announcement, now):
+    if _is_outdated(agent, announcement, now):
         return True
     if backend is None or backend.life != announcement.life:
         _start_life(agent, announcement, now)
@@ -103,19 +136,28 @@
     backend.sequence = announcement.sequence
     backend.slots = announcement.slots
     backend.last_announced = now
-    if announcement.is_draining:
-        _start_draining(agent, now)
     return True
 
 
-def _is_outdated(backend, announcement, now):
+def _is_outdated(agent, announcement, now):
     """Return whether an announcement is a late one of an earlier life.
 
     The time of day may have jumped back between two lives. So a life with an
-    earlier start replaces one that has stopped announcing itself.
+    earlier start replaces one that has stopped announcing itself, unless it
+    has left. After a restart of the agent the life in its row counts.
     """
-    is_earlier = announcement.life.born < backend.life.born
-    return is_earlier and now < backend.last_announced + SILENT_MS
+    life = announcement.life
+    backend = agent.backend
+    if backend is not None:
+        is_earlier = life.born < backend.life.born
+        has_left = life in agent.departures
+        is_silent = now >= backend.last_announced + SILENT_MS
+        return is_earlier and (has_left or not is_silent)
+    own_row = agent.hosts.get(agent.host_id)
+    known_life = None if own_row is None else own_row.record.life
+    if known_life is None or now >= agent.started + SILENT_MS:
+        return False
+    return life.born < known_life.born
 
 
 def _start_life(agent, announcement, now):
@@ -135,29 +177,15 @@
         server=announcement.life.server_id,
         born=announcement.life.born,
     )
-    departure = agent.departures.get(announcement.life.server_id)
-    if (
-        departure is not None
-        and announcement.life.born <= departure.announced_at
-    ):
+    named = agent.named_departures.get(announcement.life.server_id)
+    if named is not None and announcement.life.born <= named.announced_at:
         # This life left before its first announcement arrived here.
-        _close_at(agent.backend, departure.closing_at)
-    elif announcement.is_draining:
-        _start_draining(agent, now)
+        departures.record(agent, announcement.life, named.closing_at)
+    departures.close_if_departed(agent)
     own_row = agent.hosts.get(agent.host_id)
     if own_row is not None:
         resume_draining(agent, own_row.record, now)
 
 
-def _start_draining(agent, now):
-    if agent.backend.closing_at is None:
-        _close_at(agent.backend, now + _drain_ms(agent))
-
-
-def _close_at(backend, closing_at):
-    backend.closing_at = closing_at
-    _log.info('backend-leaving', server=backend.life.server_id)
-
-
 def _drain_ms(agent):
     return agent.settings.bounds.drain_ms - DRAIN_MARGIN_MS
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
+from laburnumlatch.mesh import storeretry
 
 
 class HostState(enum.StrEnum):
@@ -135,7 +136,18 @@
 
 @attrs.define(frozen=True)
 class Departure:
-    """Announcement of a backend server that it leaves.
+    """A run of a backend server that has announced that it leaves.
+
+    From `closing_at`, in ms of the agent's clock, no request may reach it.
+    """
+
+    life: ranges.Life
+    closing_at: int
+
+
+@attrs.define(frozen=True)
+class NamedDeparture:
+    """Announcement of a backend server that it leaves, without its start.
 
     It was sent at `announced_at`, in Unix ms. From `closing_at`, in ms of the
     agent's clock, no request may reach that server. A life that began after
@@ -146,6 +158,23 @@
     closing_at: int
 
 
+@attrs.define
+class DepartureLog:
+    """Row of the store with the departures on this host.
+
+    `is_known` is set once it was read. `version` is that of the row, 0 if
+    there is none, None if it is to be read, also again after a write whose
+    outcome is not known. `saved_lives` are in the row, `lives_in_write` in
+    the last write of it.
+    """
+
+    is_known: bool = False
+    version: int | None = None
+    saved_lives: frozenset[ranges.Life] = frozenset()
+    lives_in_write: tuple[ranges.Life, ...] = ()
+    retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
+
+
 @attrs.define
 class WorkTime:
     """Mean work time of a route at the local backend server.
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import configuring
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import departures
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import holdings
@@ -34,6 +35,7 @@
     counting,
     configuring,
     ownserver,
+    departures,
     members,
     role,
     leases,
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -13,6 +13,7 @@
 DEREGISTER = 'instances.deregister'
 _IS_DRAINING = types.MappingProxyType({'ready': False, 'draining': True})
 _DECODE_ERRORS = (ValueError, TypeError, KeyError)
+_BODY_ERRORS = (*_DECODE_ERRORS, errors.InvalidInputError)
 
 
 def decode(call, server_id, body, received_at):
@@ -30,6 +31,7 @@
             backendmsg.BackendLeft,
             server_id=server_id,
             announced_at=received_at,
+            born=_decode_born(body),
         )
     if call != HEARTBEAT:
         raise errors.InvalidInputError('unknown call')
@@ -39,6 +41,14 @@
         raise errors.InvalidInputError(f'announcement: {error!r}') from error
 
 
+def _decode_born(body):
+    """Return the start of the server that leaves, None if it is not there."""
+    try:
+        return jsontext.get_unsigned_int(jsontext.decode(body), 'born')
+    except _BODY_ERRORS:
+        return None
+
+
 def _decode_heartbeat(server_id, document):
     return functools.partial(
         backendmsg.BackendAnnounced,
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -26,6 +26,8 @@
 TIMEOUT_MS = 1500
 # How much later than its `wait_ms` the store may respond to a watch.
 WATCH_MARGIN_MS = 1500
+# No key has a character above it.
+LAST_CHARACTER = '\U0010ffff'
 STATUS_OK = 200
 STATUS_CONFLICT = 412
 STATUS_GONE = 410
@@ -70,11 +72,14 @@
 
         `table` is `TABLE/` or `TABLE/PREFIX`. Reads page after page.
         """
-        name, _, start = table.partition('/')
+        name, _, prefix = table.partition('/')
+        start = prefix
         rows = []
         version = None
         while True:
             query = {'table': name, 'part': '', 'from': start}
+            if prefix:
+                query['to'] = f'{prefix}{LAST_CHARACTER}'
             page = _decode_page(await self._call('/rows-get', query))
             rows.extend(page.rows)
             # Later pages may have newer rows than the version of the first
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -100,9 +100,12 @@
         """Return one page of rows, from the key `from` on."""
         table = self.get_query_argument('table')
         first_key = self.get_query_argument('from', '')
+        end_key = self.get_query_argument('to', None)
         rows = self._store.table(table)
         matching = [
-            _wire_row(table, row) for row in rows if row[0] >= first_key
+            _wire_row(table, row)
+            for row in rows
+            if row[0] >= first_key and (end_key is None or row[0] < end_key)
         ]
         page = matching[:MAX_PAGE_ROWS]
         self.respond(rows=page, has_more=len(page) < len(matching))
