Send a handover again until the plan no longer names it

What callers could see: keys that nobody serves for up to half a minute.

Cause: the former owner stopped sending at the acknowledgement, and kept the token for 30 s; the restarted agent had forgotten what it acknowledged.

Change: an acknowledgement only slows the message down, to once a second. It ends when the plan no longer names the former owner, which is once the new one has reported that it holds the piece.

Test: test_mesh_handovers.TestRestartedOwner, which failed before (keys still without an owner 6 s later).

--- a/laburnumlatch/mesh/handovers.py
+++ b/laburnumlatch/mesh/handovers.py
@@ -1,8 +1,10 @@
 """Handovers of pieces from their former owners to their new ones.
 
 The former owner announces that it has released a piece and passes on the
-backend server's handover token. It resends this message until the new owner
-acknowledges it.
+backend server's handover token. It resends this message until the plan names it
+no more: the new owner has then reported that it holds the piece. An
+acknowledgement only slows that down, as the agent that sent it may restart and
+forget what it got.
 """
 
 from laburnumlatch.mesh import leasemsg
@@ -10,6 +12,8 @@
 from laburnumlatch.mesh import ranges
 
 HANDOVER_RESEND_MS = 150
+# How often a message is sent again that was acknowledged.
+ACKNOWLEDGED_RESEND_MS = 1000
 TOKEN_KEPT_MS = 30_000
 MAX_RECEIVED_TOKENS = 200
 
@@ -27,9 +31,10 @@
             _add_assumed_holding(agent, piece, latest_end)
             return
         handover = keep_token(agent, piece, '', now)
-    if handover.is_acknowledged or not agent.due(
-        ('handover', key), HANDOVER_RESEND_MS, now
-    ):
+    interval_ms = HANDOVER_RESEND_MS
+    if handover.is_acknowledged:
+        interval_ms = ACKNOWLEDGED_RESEND_MS
+    if not agent.due(('handover', key), interval_ms, now):
         return
     host = agent.hosts.get(piece.host_id)
     if host is None:
