Add the types for evacuation, cold servers and ranked calls

The store's feed reports removed rows, so that an evacuation can be withdrawn. An evacuated domain is left out of the choice of hosts, and its servers get no request once the bound is over.

--- a/laburnumlatch/core/storelink.py
+++ b/laburnumlatch/core/storelink.py
@@ -96,4 +96,6 @@
 
 
 def _changes_response(message, changes):
-    return storemsg.StoreChanges(message.ticket, changes.rows, changes.version)
+    return storemsg.StoreChanges(
+        message.ticket, changes.rows, changes.version, changes.removed
+    )
--- a/laburnumlatch/core/storemsg.py
+++ b/laburnumlatch/core/storemsg.py
@@ -52,19 +52,24 @@
 
 @attrs.define(frozen=True)
 class Changes:
-    """Rows of a table, complete up to `version` of the store."""
+    """Rows of a table, complete up to `version` of the store.
+
+    `removed` are the keys of rows that are gone, in the response to a watch.
+    """
 
     rows: tuple[StoreRow, ...]
     version: int
+    removed: tuple[str, ...] = ()
 
 
 @attrs.define(frozen=True)
 class StoreChanges:
-    """Response to `StoreRead` and `StoreWatch`."""
+    """Response to `StoreRead` and `StoreWatch`; `removed` as in `Changes`."""
 
     ticket: str
     rows: tuple[StoreRow, ...]
     version: int
+    removed: tuple[str, ...] = ()
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.evacuation import domains
 
 # A queued request is refused once the time to its deadline is less than this
 # share of its expected work time.
@@ -132,7 +133,7 @@
         return Rejection(
             messages.Reason.SERVER_DOWN, SERVER_DOWN_RETRY_AFTER_MS
         )
-    if is_closed(backend, now):
+    if is_closed(backend, now) or not domains.may_start(agent, now):
         return Rejection(messages.Reason.NOT_OWNER, 0)
     return None
 
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -51,6 +51,8 @@
       first key, last key and fence.
     - `lease_holders`: what the planner knows about hosts, by host ID;
       `bucket_loads`: the load of buckets of keys, by service.
+    - `evacuations`: `rows.Evacuation` by failure domain, as the operator
+      asks for them.
     - `counters`, `latencies`: metrics.
 
     `backend` is the local backend server. `load_report` collects what the
@@ -95,6 +97,7 @@
     received_handovers: tables.Table = attrs.Factory(tables.Table)
     lease_holders: tables.Table = attrs.Factory(tables.Table)
     bucket_loads: tables.Table = attrs.Factory(tables.Table)
+    evacuations: tables.Table = attrs.Factory(tables.Table)
     counters: tables.Table = attrs.Factory(tables.Table)
     latencies: tables.Table = attrs.Factory(tables.Table)
     plan_writes: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/configmsg.py
+++ b/laburnumlatch/mesh/configmsg.py
@@ -27,11 +27,17 @@
     """Accepted configurations, oldest first; empty if nothing has changed.
 
     `store_version` is the version of the store up to which they were read.
+    `evacuated` are failure domains that the operator asks to evacuate, and
+    `ended_evacuations` those for which that is withdrawn. If the read
+    `is_complete`, all other evacuations are withdrawn, too.
     """
 
     ticket: str
     configurations: tuple[routes.Configuration, ...]
     store_version: int
+    evacuated: tuple[str, ...] = ()
+    ended_evacuations: tuple[str, ...] = ()
+    is_complete: bool = False
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -10,6 +10,7 @@
 from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
 from laburnumlatch.mesh import configmsg
+from laburnumlatch.mesh.evacuation import domains
 
 TICKET = 'configuration/'
 READ_TICKET = 'configuration/read'
@@ -60,6 +61,7 @@
     """Apply the newest version that was read, and start the next watch."""
     agent.configuration_updated_at = agent.now
     agent.configuration_retry.record_success()
+    domains.update(agent, read, agent.now)
     newest = agent.configuration
     for configuration in read.configurations:
         if newest is None or configuration.version > newest.version:
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -89,6 +89,20 @@
     caller_service: str = ''
 
 
+@attrs.define(frozen=True)
+class ServerLoadReport:
+    """Load of a backend server as it reports it with a response.
+
+    `running` and `waiting` are numbers of requests. `slowness` is how long
+    work takes on its machine now, 1 as usual; None if it does not say.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 @attrs.define(frozen=True)
 class Answer:
     """Complete response of a backend server."""
@@ -156,7 +170,9 @@
     Another agent sends three durations with the response: `wait_ms` is the
     expected wait of a new request in the queue there, `work_ms` the work time
     that it now expects for the route, and `held_ms` how long it had this
-    request. They are None if unknown.
+    request. They are None if unknown. `waits` is the expected wait there by
+    priority, empty if unknown. The local backend server may report its load,
+    `server_load`.
     """
 
     number: int
@@ -165,6 +181,8 @@
     wait_ms: int | None = None
     work_ms: int | None = None
     held_ms: int | None = None
+    waits: tuple[int, ...] = ()
+    server_load: ServerLoadReport | None = None
 
 
 @attrs.define(frozen=True)
@@ -188,6 +206,7 @@
     wait_ms: int | None = None
     is_stale: bool = False
     detail: str = ''
+    waits: tuple[int, ...] = ()
 
 
 # Requests: from systems to front ends.
@@ -217,7 +236,9 @@
 
     `number` and `exchange` identify it at the sender. `plan_version` is the
     version of the plan by which the sender chose the host, 0 if the service
-    is not divided by key.
+    is not divided by key. For a nested call, `rank` is the priority of the
+    request that began the chain of calls and `origin_left_ms` the time until
+    that one must end; they are None otherwise.
     """
 
     number: int
@@ -232,6 +253,8 @@
     route: str = ''
     plan_version: int = 0
     is_nested: bool = False
+    rank: int | None = None
+    origin_left_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -258,7 +281,8 @@
 
     `wait_ms` is the expected wait of a new request in the queue here,
     `work_ms` the work time now expected for the route, and `held_ms` the time
-    since this request arrived here.
+    since this request arrived here. `waits` is the expected wait by priority,
+    the most urgent first; empty if it is the same for all.
     """
 
     number: int
@@ -266,13 +290,15 @@
     wait_ms: int
     work_ms: int
     held_ms: int
+    waits: tuple[int, ...] = ()
 
 
 @attrs.define(frozen=True)
 class ReplyRefusal:
     """Report to the agent that forwarded the request why no response comes.
 
-    `wait_ms` is the expected wait of a new request in the queue here.
+    `wait_ms` is the expected wait of a new request in the queue here, `waits`
+    that by priority, as in `ReplyAnswer`.
     """
 
     number: int
@@ -280,6 +306,7 @@
     reason: Reason
     retry_after_ms: int
     wait_ms: int
+    waits: tuple[int, ...] = ()
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -10,6 +10,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.evacuation import domains
 
 # While one request probes a host that could not be reached, others avoid the
 # host for this time: longer than connecting to it may take.
@@ -104,6 +105,7 @@
         for host in agent.hosts
         if host.record.service == service
         and host.record.state == rows.HostState.READY
+        and not domains.is_evacuated(agent, host.record.domain)
     ]
     available = [host for host in hosts if _is_available(agent, host, now)]
     return available or hosts
--- a/laburnumlatch/mesh/routes.py
+++ b/laburnumlatch/mesh/routes.py
@@ -35,7 +35,8 @@
 
     `timeout_ms` and `target_ms`, the target latency, are None if there is no
     limit. `attempts` is the largest number of backend servers that one
-    request may be sent to. Priority 0 is the most urgent.
+    request may be sent to. Priority 0 is the most urgent. `regions` are those
+    that requests of the route may reach; empty means all.
     """
 
     name: str
@@ -47,6 +48,7 @@
     target_ms: int | None = None
     priority: int = DEFAULT_PRIORITY
     attempts: int = 1
+    regions: frozenset[str] = frozenset()
 
 
 @attrs.define(frozen=True)
@@ -55,7 +57,9 @@
 
     `connections` is its connection limit, and `is_divided` says whether the
     service is divided by key. Keys that move without a handover token from
-    their former owner are served slowly for `warmup_ms`.
+    their former owner are served slowly for `warmup_ms`. A server that has
+    started during traffic is cold for `cold_start_ms`, and while it is cold it
+    bears `cold_per_s` requests a second; 0 means that it has no such limit.
     """
 
     name: str
@@ -63,6 +67,8 @@
     connections: int
     is_divided: bool = False
     warmup_ms: int = 0
+    cold_start_ms: int = 0
+    cold_per_s: float = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -1,5 +1,6 @@
 """Row classes of the tables that one agent keeps in memory."""
 
+import collections
 import enum
 
 import attrs
@@ -105,6 +106,33 @@
         return self.record.host_id
 
 
+@attrs.define(frozen=True)
+class Evacuation:
+    """An operator's request to send nothing to the servers of a domain.
+
+    `begun_at` is when this agent learned of it, in ms of its clock.
+    """
+
+    domain: str
+    begun_at: int
+
+
+@attrs.define
+class ServerLoad:
+    """Load that the local backend server reports with its responses.
+
+    `running` and `waiting` are numbers of requests. `slowness` is how long
+    work takes on that machine, 1 as usual, smoothed over time. `reported_at`
+    is when the last report came.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slowness: float = 1
+    reported_at: int = 0
+
+
 @attrs.define
 class Backend:
     """The backend server on the host of this agent.
@@ -117,7 +145,9 @@
     exchanges without a response. `failed_since` is when the server was found
     to be down, None if it is not. From `resume_at` on it is tried again if it
     has announced itself after `failed_since`. `last_response` is when its
-    last response came.
+    last response came. Until `cold_until` the server is cold, 0 if it is not.
+    `sent_at` has the times at which requests were sent to it in the last
+    second. `load` is what it reported last.
     """
 
     life: ranges.Life
@@ -132,6 +162,9 @@
     resume_at: int = 0
     last_announced: int = 0
     last_response: int = 0
+    cold_until: int = 0
+    sent_at: collections.deque[int] = attrs.Factory(collections.deque)
+    load: ServerLoad = attrs.Factory(ServerLoad)
 
 
 @attrs.define(frozen=True)
@@ -244,6 +277,9 @@
     `is_nested` marks a call made by a request that runs at a backend server.
     `parent_route` is the route of that request and `parent_target_end` the
     end of its target time; both are known on the host of the parent only.
+    `rank` is the priority of the request that began the chain of calls, and
+    `origin_deadline` the time at which that one must end; for other requests
+    they are `priority` and `deadline`.
 
     `later_finished` counts requests of the route that were started later but
     finished first; a retry counts as `silence.MIN_LATER_FINISHED` of them.
@@ -280,6 +316,8 @@
     is_nested: bool = False
     parent_route: str = ''
     parent_target_end: int = 0
+    rank: int = 0
+    origin_deadline: int = 0
     later_finished: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_immediately: bool = False
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -14,6 +14,11 @@
     In any window of `retry_window_ms`, the retries of a service may be at
     most `retry_ratio` of its requests plus `retry_extra`.
 
+    A backend server of an evacuated failure domain gets no request later than
+    `evacuation_ms` after the operator's request, or `max_stretch_ms` later
+    while the store is unstable. In any second, a cold server gets at most its
+    rate times `cold_overage` plus `cold_slack` requests.
+
     The other bounds are read from the boot file, but the agent does not use
     them.
     """
@@ -28,6 +33,10 @@
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
     retry_extra: int = 60
+    evacuation_ms: int = 5000
+    max_stretch_ms: int = 5000
+    cold_overage: float = 1.5
+    cold_slack: int = 8
 
 
 @attrs.define(frozen=True)
@@ -36,7 +45,8 @@
 
     Addresses are `ip:port`. `peer_address` receives both frames (TCP) and
     lease datagrams (UDP) from other agents. `memory_bytes` is the memory
-    limit of the whole process.
+    limit of the whole process, `max_descriptors` that of its open descriptors.
+    `regions` has the region of each failure domain.
     """
 
     host_id: str
@@ -55,3 +65,5 @@
     link_mbps: float = 1000
     bounds: Bounds = attrs.Factory(Bounds)
     log_level: str = 'info'
+    max_descriptors: int = 4096
+    regions: dict[str, str] = attrs.Factory(dict)
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -14,6 +14,7 @@
 BYTES_PER_MB = 1_000_000
 DEFAULT_MEMORY_MB = 200
 DEFAULT_LINK_MBPS = 1000
+DEFAULT_DESCRIPTORS = 4096
 METRICS_PORT = 9464
 # Fields of `settings.Bounds` and their names in the file's `terms.bounds`.
 _DURATIONS = (
@@ -25,10 +26,14 @@
     ('address_reuse_ms', 'address_reuse'),
     ('recovery_ms', 'recovery'),
     ('retry_window_ms', 'retry_window'),
+    ('evacuation_ms', 'evacuation'),
+    ('max_stretch_ms', 'max_stretch'),
 )
 _NUMBERS = (
     ('retry_ratio', 'retry_budget_ratio'),
     ('retry_extra', 'retry_budget_extra'),
+    ('cold_overage', 'cold_overage'),
+    ('cold_slack', 'cold_slack'),
 )
 
 
@@ -92,6 +97,8 @@
         cores=reader.cores(),
         link_mbps=reader.limit('link_mbps', DEFAULT_LINK_MBPS),
         bounds=reader.bounds(),
+        max_descriptors=int(reader.limit('max_fds', DEFAULT_DESCRIPTORS)),
+        regions=reader.regions(),
     )
     reader.problems.raise_if_any()
     return agent_settings
@@ -133,6 +140,16 @@
         """Return the address of the metrics; the deploy file has its port."""
         return f'{self.text("self.ip")}:{METRICS_PORT}'
 
+    def regions(self):
+        """Return the region of each failure domain, by domain."""
+        name = 'network.zones'
+        regions = self._find(name, {})
+        is_table = isinstance(regions, dict)
+        if is_table and all(isinstance(text, str) for text in regions.values()):
+            return dict(regions)
+        self._add(name, regions, 'a table of region names')
+        return {}
+
     def memory_bytes(self):
         """Return the memory limit of the process."""
         return int(self.limit('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB)
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -8,6 +8,8 @@
 
 TABLE = 'op/'
 ROW = 'op/config'
+# The rest of the key is a failure domain; the row asks to evacuate it.
+EVACUATION_PREFIX = 'op/evacuate/'
 
 _log = logs.logger('config')
 
@@ -32,9 +34,21 @@
             message.ticket,
             tuple(_decode_configurations(changes.rows)),
             changes.version,
+            evacuated=_domains(row.key for row in changes.rows),
+            ended_evacuations=_domains(changes.removed),
+            is_complete=isinstance(message, configmsg.ReadConfiguration),
         )
 
 
+def _domains(keys):
+    """Return the failure domains in keys of evacuation rows."""
+    return tuple(
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(EVACUATION_PREFIX)
+    )
+
+
 def _decode_configurations(rows):
     """Yield the configuration of the row `ROW`; log it if it is invalid."""
     for row in rows:
--- a/laburnumlatch/platform/configrows.py
+++ b/laburnumlatch/platform/configrows.py
@@ -1,5 +1,6 @@
 """Decodes the platform's configuration row to `routes.Configuration`."""
 
+import math
 import types
 
 from laburnumlatch.core import errors
@@ -71,6 +72,7 @@
         target_ms=_duration(row, 'target_latency', None),
         priority=_unsigned_int(row, 'priority', routes.DEFAULT_PRIORITY),
         attempts=_unsigned_int(row, 'max_attempts', 1),
+        regions=frozenset(_texts(row, 'allowed_regions')),
     )
 
 
@@ -81,6 +83,8 @@
         connections=_unsigned_int(row, 'max_connections', DEFAULT_CONNECTIONS),
         is_divided=bool(row.get('sharded', False)),
         warmup_ms=_duration(row, 'warmup', 0),
+        cold_start_ms=_duration(row, 'cold_start', 0),
+        cold_per_s=_unsigned_number(row, 'cold_per_s'),
     )
 
 
@@ -107,6 +111,22 @@
     return weight
 
 
+def _texts(row, name):
+    """Return a list of texts; empty if the field is missing."""
+    texts = row.get(name, [])
+    if isinstance(texts, list) and all(isinstance(one, str) for one in texts):
+        return texts
+    raise errors.InvalidInputError(f'{name} is {texts!r}')
+
+
+def _unsigned_number(row, name):
+    """Return a number that is not negative; 0 if the field is missing."""
+    number = row.get(name, 0)
+    if type(number) not in {int, float} or not 0 <= number < math.inf:
+        raise errors.InvalidInputError(f'{name} is {number!r}')
+    return number
+
+
 def _unsigned_int(row, name, default):
     return jsontext.get_unsigned_int(row, name) if name in row else default
 
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -170,7 +170,7 @@
         if epoch != versions.epoch_of(after):
             raise errors.HistoryGoneError('the store was restored')
         page = _decode_page(document, epoch)
-        return storemsg.Changes(page.rows, page.version)
+        return storemsg.Changes(page.rows, page.version, page.removed)
 
     async def _call(self, path, query, timeout_ms=TIMEOUT_MS, **options):
         """Return the decoded JSON of a response, and the epoch of the store.
@@ -254,7 +254,7 @@
 
 @attrs.define(frozen=True)
 class _Page:
-    """The valid rows of one response.
+    """The valid rows of one response, and the keys of removed ones.
 
     `last_key` is the key of the last row if more pages follow, else None.
     """
@@ -262,6 +262,7 @@
     rows: tuple
     version: int
     last_key: str | None
+    removed: tuple = ()
 
 
 def _decode_page(document, epoch):
@@ -280,7 +281,10 @@
             f'bad response: {error!r}'
         ) from error
     version = versions.join(epoch, _decode_version(document))
-    return _Page(rows, version, last_key)
+    removed = tuple(
+        itertools.chain.from_iterable(_removed_key(row) for row in entries)
+    )
+    return _Page(rows, version, last_key, removed)
 
 
 def _decode_version(document):
@@ -301,10 +305,25 @@
         _log.error('row-unreadable', row=f'{fields!r:.80}', detail=repr(error))
 
 
-def _decode_row(fields, epoch):
+def _removed_key(fields):
+    """Yield the key of the row if it is removed."""
+    if isinstance(fields, dict) and fields.get('removed'):
+        try:
+            yield _full_key(fields)
+        except _DECODE_ERRORS as error:
+            _log.error(
+                'row-unreadable', row=f'{fields!r:.80}', detail=repr(error)
+            )
+
+
+def _full_key(fields):
     table = jsontext.get_text(fields, 'table')
+    return f'{table}/{jsontext.get_text(fields, "key")}'
+
+
+def _decode_row(fields, epoch):
     return storemsg.StoreRow(
-        f'{table}/{jsontext.get_text(fields, "key")}',
+        _full_key(fields),
         versions.join(epoch, jsontext.get_unsigned_int(fields, 'ver')),
         base64.b64decode(jsontext.get_text(fields, 'value'), validate=True),
     )
