Give requests of an evacuated domain to other hosts

Requests that waited at an evacuated host for longer than the bound were refused to its own callers, and a key whose owner was evacuated was refused at once. Now such requests are placed again or parked. A read is not sent again on a new connection once the bound is over.

The bound was counted anew by a restarted agent, and from the end of a store outage. It now counts from the last response of the store, and is over if there was none. A late response to a read no longer ends a newer evacuation, and a domain that becomes known only with its first host is evacuated from then on. The deployment in memory learns evacuations.

--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -24,6 +24,10 @@
 class Store:
     """Rows with versions.
 
+    `evacuated` are the failure domains that the operator has evacuated,
+    `ended_evacuations` those for which that was withdrawn, and
+    `evacuation_changes` counts the changes of both.
+
     All calls of `refused_hosts` fail, and those of all hosts while `is_down`.
     `writes_to_reject` maps a key to the number of its next writes that get
     status 503. `calls` counts calls about rows, `writes` the writes among
@@ -44,6 +48,9 @@
         self.writes = 0
         self.calls = 0
         self.configuration_reads = 0
+        self.evacuated = set()
+        self.ended_evacuations = set()
+        self.evacuation_changes = 0
 
     @property
     def version(self):
@@ -68,14 +75,43 @@
             return None
         return storemsg.StoreChanges(message.ticket, rows, self.version)
 
+    def evacuate(self, *domains):
+        """Write the operator's requests to evacuate failure domains."""
+        self.evacuation_changes += 1
+        self.evacuated.update(domains)
+        self.ended_evacuations.difference_update(domains)
+
+    def end_evacuation(self, domain):
+        """Remove the operator's request to evacuate a failure domain."""
+        self.evacuation_changes += 1
+        self.evacuated.discard(domain)
+        self.ended_evacuations.add(domain)
+
+    def configuration_read(self, ticket, configuration, *, is_complete):
+        """Return the `configmsg.ConfigurationRead` for a read or a watch."""
+        return configmsg.ConfigurationRead(
+            ticket,
+            (configuration,),
+            self.configuration_version(configuration),
+            evacuated=tuple(sorted(self.evacuated)),
+            ended_evacuations=tuple(sorted(self.ended_evacuations)),
+            is_complete=is_complete,
+        )
+
+    def configuration_version(self, configuration):
+        """Return the version of the table with the configuration's row."""
+        number = configuration.version + self.evacuation_changes
+        return versions.join(self.epoch, number)
+
     def copy(self):
         """Return a copy of all rows, for `restore`."""
-        return self._number, dict(self.rows)
+        return self._number, dict(self.rows), set(self.evacuated)
 
     def restore(self, copy):
         """Go back to a copy from `copy`; all later writes are lost."""
-        number, rows = copy
+        number, rows, evacuated = copy
         self._number = number
+        self.evacuated = set(evacuated)
         self.epoch += 1
         self.rows = rows_in_epoch(rows, self.epoch)
 
@@ -160,19 +196,24 @@
             self._fleet.post(host_id, answer)
 
     def _read_configuration(self, host_id, request):
-        newest = self._fleet.configuration
         store = self._fleet.store
         store.configuration_reads += 1
-        answer = configmsg.ConfigurationRead(
-            request.ticket, (newest,), newest.version
+        is_complete = isinstance(request, configmsg.ReadConfiguration)
+        answer = store.configuration_read(
+            request.ticket, self._fleet.configuration, is_complete=is_complete
+        )
+        is_history_gone = not is_complete and (
+            versions.epoch_of(request.after) != store.epoch
         )
-        if host_id in store.refused_hosts or store.is_down:
+        is_refused = host_id in store.refused_hosts or store.is_down
+        if is_refused or is_history_gone:
             answer = storemsg.StoreFailed(request.ticket, 'refused')
         self._fleet.post(host_id, answer)
 
     def _watch_configuration(self, host_id, watch):
-        is_newer = self._fleet.configuration.version > watch.after
-        if is_newer or self._fleet.store.is_down:
+        store = self._fleet.store
+        version = store.configuration_version(self._fleet.configuration)
+        if version > watch.after or store.is_down:
             self._read_configuration(host_id, watch)
         else:
             self._schedule(
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -30,9 +30,7 @@
     rejection = general_rejection(agent, now)
     for request in agent.queue:
         if rejection is not None:
-            requests.refuse(
-                agent, request, rejection.reason, rejection.retry_after_ms
-            )
+            _reject_queued(agent, request, rejection)
         elif not leaving.ends_in_time(agent, request):
             requests.refuse(
                 agent, request, _STOPPING.reason, _STOPPING.retry_after_ms
@@ -57,6 +55,8 @@
 
 
 _STOPPING = Rejection(messages.Reason.STOPPING, AGENT_RESTART_MS)
+# The own failure domain is evacuated: other hosts serve the request.
+EVACUATED = Rejection(messages.Reason.NOT_OWNER, 0)
 
 
 def enqueue(agent, request, now):
@@ -133,11 +133,23 @@
         return Rejection(
             messages.Reason.SERVER_DOWN, SERVER_DOWN_RETRY_AFTER_MS
         )
-    if is_closed(backend, now) or not domains.may_start(agent, now):
+    if is_closed(backend, now):
         return Rejection(messages.Reason.NOT_OWNER, 0)
+    if not domains.may_start(agent, now):
+        return EVACUATED
     return None
 
 
+def _reject_queued(agent, request, rejection):
+    """Refuse a queued request to its sender, or let its ingress place it."""
+    if rejection is EVACUATED and not request.sender:
+        requests.place_again(agent, request)
+    else:
+        requests.refuse(
+            agent, request, rejection.reason, rejection.retry_after_ms
+        )
+
+
 def _is_too_late(agent, request, now):
     needed_ms = (
         worktimes.current_work_ms(agent, request.route) * MIN_TIME_LEFT_RATIO
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -52,7 +52,9 @@
     - `lease_holders`: what the planner knows about hosts, by host ID;
       `bucket_loads`: the load of buckets of keys, by service.
     - `evacuations`: `rows.Evacuation` by failure domain, as the operator
-      asks for them.
+      asks for them; `evacuations_version` is the version of the store up to
+      which they are known, `evacuation_progress` what the last log line about
+      them said (`progress.Remaining`), None before the first.
     - `counters`, `latencies`: metrics.
 
     `backend` is the local backend server. `load_report` collects what the
@@ -121,6 +123,8 @@
     is_watching_configuration: bool = False
     members_updated_at: int = 0
     configuration_updated_at: int = 0
+    evacuations_version: int = 0
+    evacuation_progress: object = None
     own_row_version: int = 0
     is_own_row_missing: bool = False
     store_epoch: int | None = None
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -59,9 +59,9 @@
 
 def _apply_read(agent, read):
     """Apply the newest version that was read, and start the next watch."""
+    domains.update(agent, read, agent.now)
     agent.configuration_updated_at = agent.now
     agent.configuration_retry.record_success()
-    domains.update(agent, read, agent.now)
     newest = agent.configuration
     for configuration in read.configurations:
         if newest is None or configuration.version > newest.version:
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.evacuation import domains
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -16,7 +17,7 @@
     backend = agent.backend
     if backend is None or not len(agent.queue):
         return
-    if agent.configuration is None or admission.is_closed(backend, now):
+    if agent.configuration is None or not _may_send(agent, now):
         return
     if not agent.departure_log.is_known:
         # An earlier process may have acknowledged that the server leaves.
@@ -28,6 +29,12 @@
         _start(agent, request, backend, now)
 
 
+def _may_send(agent, now):
+    """Return whether the backend server may be sent any request now."""
+    is_closed = admission.is_closed(agent.backend, now)
+    return not is_closed and domains.may_start(agent, now)
+
+
 def _start(agent, request, backend, now):
     agent.queue.pop(request.number)
     request.state = rows.RequestState.RUNNING
@@ -47,11 +54,12 @@
 def may_send_again(agent, request, now):
     """Return whether a running request may be sent once more, and count it.
 
-    By now this host may have to release the key, or the backend server may be
-    leaving.
+    By now this host may have to release the key, the backend server may be
+    leaving, or the bound of an evacuation may be over.
     """
-    is_closed = admission.is_closed(agent.backend, now)
-    if is_closed or not admission.may_start(agent, request, now):
+    if not _may_send(agent, now) or not admission.may_start(
+        agent, request, now
+    ):
         return False
     if not retrybudget.spend_retry(agent, request.service, now):
         return False
--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -2,6 +2,7 @@
 
 While a domain is evacuated, its backend servers get no new requests: at once
 none that can go elsewhere, and within the bound of the settings none at all.
+The requests for evacuations are rows of the store.
 """
 
 from laburnumlatch.core import logs
@@ -10,44 +11,102 @@
 # The own server gets no request in the last part of the bound: this agent has
 # learned of the evacuation later than the store has acknowledged it.
 MARGIN_MS = 1500
+PROGRESS_TIMER = 'evacuation/progress'
 
 _log = logs.logger('evacuation')
 
 
 def update(agent, read, now):
-    """Apply the evacuations of a `configmsg.ConfigurationRead`."""
+    """Apply the evacuations of a `configmsg.ConfigurationRead`.
+
+    A response that is older than one already applied is ignored: a full read
+    and a watch run side by side, and may end in either order.
+    """
+    if read.store_version < agent.evacuations_version:
+        return
+    agent.evacuations_version = read.store_version
+    begun_at = _latest_known_begin(agent, read, now)
     for domain in read.evacuated:
-        _begin(agent, domain, now)
-    ended = list(read.ended_evacuations)
+        if not is_evacuated(agent, domain):
+            agent.evacuations.put(domain, rows.Evacuation(domain, begun_at))
+            # `progress` reports it in this tick.
+            agent.timers.pop(PROGRESS_TIMER)
+    ended = set(read.ended_evacuations)
     if read.is_complete:
-        ended += set(agent.evacuations.keys()) - set(read.evacuated)
-    for domain in ended:
-        if agent.evacuations.pop(domain) is not None:
+        ended.update(agent.evacuations.keys())
+        ended.difference_update(read.evacuated)
+    for domain in sorted(ended):
+        evacuation = agent.evacuations.pop(domain)
+        if evacuation is not None and evacuation.is_known:
             _log.info('evacuation-ended', domain=domain)
+    if not len(agent.evacuations):
+        agent.evacuation_progress = None
 
 
 def is_evacuated(agent, domain):
-    """Return whether the operator has evacuated a failure domain."""
+    """Return whether the operator has evacuated the failure domain of a host.
+
+    A domain without any host may be in the table, too.
+    """
     return domain in agent.evacuations
 
 
+def is_host_evacuated(agent, host_id):
+    """Return whether a host may own no keys because its domain is evacuated.
+
+    So is one whose domain is not known yet, while there is any evacuation.
+    """
+    if not len(agent.evacuations):
+        return False
+    host = agent.hosts.get(host_id)
+    return host is None or is_evacuated(agent, host.record.domain)
+
+
 def may_start(agent, now):
     """Return whether the own backend server may be sent a request now."""
     evacuation = agent.evacuations.get(agent.settings.domain)
-    return evacuation is None or now < _ends_at(agent, evacuation)
+    if evacuation is None:
+        return True
+    return evacuation.begun_at is not None and now < ends_at(agent, evacuation)
 
 
-def _begin(agent, domain, now):
-    if is_evacuated(agent, domain):
-        return
-    if domain not in agent.settings.regions:
-        _log.warning('evacuation-ignored', domain=domain)
-        return
-    agent.evacuations.put(domain, rows.Evacuation(domain, now))
-    _log.info('evacuation-begun', domain=domain)
+def is_bound_over(agent, domain, now):
+    """Return whether hosts of a domain have certainly stopped their work.
 
+    False if this agent does not know when the evacuation began: the agents of
+    the domain know better.
+    """
+    evacuation = agent.evacuations.get(domain)
+    if evacuation is None or evacuation.begun_at is None:
+        return False
+    return now >= ends_at(agent, evacuation)
 
-def _ends_at(agent, evacuation):
-    """Return until when requests may be sent to servers of the domain."""
+
+def ends_at(agent, evacuation):
+    """Return until when requests may be sent to servers of the domain.
+
+    The evacuation must have a known begin.
+    """
     allowed_ms = agent.settings.bounds.evacuation_ms - MARGIN_MS
     return evacuation.begun_at + max(0, allowed_ms)
+
+
+def known_domains(agent):
+    """Return the failure domains of the settings and of all known hosts."""
+    return {
+        agent.settings.domain,
+        *agent.settings.regions,
+        *(host.record.domain for host in agent.hosts),
+    }
+
+
+def _latest_known_begin(agent, read, now):
+    """Return when new evacuations of a read had begun at the latest, or None.
+
+    A watch reports them at once. They may be in a full read since the last
+    response, and since any time if there was none. So the bound is never
+    taken for longer than it is, also after an outage of the store.
+    """
+    if not read.is_complete:
+        return now
+    return agent.configuration_updated_at or None
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -53,7 +53,13 @@
 
 
 def _handle_rejection(agent, request, rejection, now):
-    """Place a request that was rejected here on another host, or refuse it."""
+    """Place a request that was rejected here on another host, or refuse it.
+
+    If this host's domain is evacuated, a key waits for its next owner.
+    """
+    if rejection is admission.EVACUATED:
+        requests.park(agent, request, rejection.reason)
+        return
     request.tried_hosts.append(agent.host_id)
     is_divided = agent.is_divided(request.service)
     if not is_divided and has_untried_host(agent, request, now):
@@ -94,7 +100,12 @@
             return None
         request.plan_version = plan.version
         key = request.head.key or 0
-        return agent.hosts.get(plan.piece_of(key).host_id)
+        owner = agent.hosts.get(plan.piece_of(key).host_id)
+        if owner is None or domains.is_bound_over(
+            agent, owner.record.domain, now
+        ):
+            return None
+        return owner
     return _choose_host(agent, request, now)
 
 
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -171,6 +171,13 @@
     agent.wake_at(due)
 
 
+def place_again(agent, request):
+    """Let `placement` choose another host for a request in the next tick."""
+    free_capacity(agent, request)
+    schedule_placement(agent, request, agent.now)
+    agent.wake_at(agent.now)
+
+
 def schedule_placement(agent, request, due):
     """Let `placement` choose a host in the first tick at or after `due`."""
     agent.parked.put(request.number, request)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -106,15 +106,18 @@
         return self.record.host_id
 
 
-@attrs.define(frozen=True)
+@attrs.define
 class Evacuation:
     """An operator's request to send nothing to the servers of a domain.
 
-    `begun_at` is when this agent learned of it, in ms of its clock.
+    `begun_at` is when this agent learned of it, in ms of its clock; None if it
+    may have begun long before. `is_known` is whether there is such a domain,
+    None if that was not judged yet.
     """
 
     domain: str
-    begun_at: int
+    begun_at: int | None
+    is_known: bool | None = None
 
 
 @attrs.define
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -25,6 +25,7 @@
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import storeepochs
 from laburnumlatch.mesh import throttling
+from laburnumlatch.mesh.evacuation import progress
 
 # `counting` counts the store's responses before other systems remove them
 # from the inbox, and `storeepochs` looks at their versions. The state of hosts
@@ -43,6 +44,7 @@
     role,
     leases,
     planner,
+    progress,
     holdings,
     intake,
     expiry,
