Move the keys of evacuated domains in steps

The plan left keys of divided services with hosts whose servers may get no request. Such hosts are no candidates any more, and their pieces are handed over as by a leaving server, the busiest first, in the plans of half the bound. Busy pieces are divided, so that one host does not get all keys of another. Services take turns, as only one plan is written at a time.

--- a/laburnumlatch/mesh/plandraft.py
+++ b/laburnumlatch/mesh/plandraft.py
@@ -16,6 +16,8 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.evacuation import keymoves
 
 # A host without contact for this time gets no keys.
 SILENT_MS = 1500
@@ -70,6 +72,33 @@
             return self._assign(piece, piece.host_id)
         return piece
 
+    def evacuate(self, pieces, interval_ms):
+        """Return the pieces after the next step of all evacuations.
+
+        A plan is written every `interval_ms`. The keys are handed over as by
+        a leaving owner; those that are being handed over stay as they are.
+        """
+        movable = [piece for piece in pieces if self._must_leave(piece)]
+        if not movable:
+            return pieces
+        step = keymoves.next_step(
+            self._agent,
+            pieces,
+            movable,
+            self._rates,
+            len(self._candidates),
+            interval_ms,
+        )
+        pieces = ranges.split(pieces, step.cuts())
+        piece_by_start = {piece.start: piece for piece in pieces}
+        moved = {
+            start: self._assign(
+                piece_by_start[start], piece_by_start[start].host_id
+            )
+            for start, _end in step.ranges
+        }
+        return tuple(moved.get(piece.start, piece) for piece in pieces)
+
     def balance(self, pieces):
         """Return the pieces after the moves that even out the load.
 
@@ -175,6 +204,21 @@
     def _relative_load_of(self, candidate):
         return self._relative_loads[candidate.host_id]
 
+    def _must_leave(self, piece):
+        """Return whether a piece is to leave a host in an evacuated domain.
+
+        If the owner does not respond any more, `with_usable_owner` replaces it
+        once its leases have ended.
+        """
+        if piece.former or self._agent.hosts.get(piece.host_id) is None:
+            return False
+        holder = self._agent.lease_holders.get(piece.host_id)
+        return (
+            holder is not None
+            and holder.life == piece.life
+            and domains.is_host_evacuated(self._agent, piece.host_id)
+        )
+
     def _holds_no_keys(self, host_id, life):
         """Return whether a host certainly holds no keys.
 
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -17,9 +17,11 @@
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh.evacuation import domains
 
 TICKET = 'plan/'
 READ_TICKET = 'plan/read/'
+WRITTEN_TIMER = 'planner/written/'
 READ_INTERVAL_MS = 200
 PLAN_INTERVAL_MS = 200
 # Keys move at most this often: a move takes about as long as a request.
@@ -130,12 +132,25 @@
     may_write = may_write and not len(agent.plan_writes)
     if not may_write or not role.may_lease(planner_role, now):
         return
-    for service in agent.configuration.services.values():
-        if service.is_divided:
-            plan = _next_plan(agent, service.name, now)
-            if plan is not None:
-                write_plan(agent, plan)
-                return
+    for service in _divided_services(agent):
+        plan = _next_plan(agent, service, now)
+        if plan is not None:
+            agent.timers.put(f'{WRITTEN_TIMER}{service}', now)
+            write_plan(agent, plan)
+            return
+
+
+def _divided_services(agent):
+    """Return the names of divided services, the longest without a plan first.
+
+    Only one plan is written at a time, and an evacuation changes those of all
+    services.
+    """
+    services = agent.configuration.services.values()
+    return sorted(
+        (service.name for service in services if service.is_divided),
+        key=lambda name: agent.timers.get(f'{WRITTEN_TIMER}{name}') or 0,
+    )
 
 
 def write_plan(agent, plan):
@@ -177,6 +192,9 @@
     version = plan.version + 1
     draft = plandraft.PlanDraft(agent, service, candidates, now)
     pieces = tuple(draft.with_usable_owner(piece) for piece in plan.pieces)
+    pieces = draft.evacuate(
+        pieces, PLAN_INTERVAL_MS * len(_divided_services(agent))
+    )
     if agent.due(f'planner/balance/{service}', BALANCE_INTERVAL_MS, now):
         pieces = draft.balance(pieces)
     pieces = ranges.join(pieces)
@@ -212,15 +230,16 @@
             holder.slots / mean_ms.get(holder.host_id, default_ms),
         )
         for holder in sorted(agent.lease_holders, key=lambda host: host.host_id)
-        if holder.service == service and _can_own_keys(holder, now)
+        if holder.service == service and _can_own_keys(agent, holder, now)
     ]
 
 
-def _can_own_keys(holder, now):
+def _can_own_keys(agent, holder, now):
     has_backend = holder.life is not None and holder.slots > 0
     return (
         has_backend
         and not holder.is_leaving
+        and not domains.is_host_evacuated(agent, holder.host_id)
         and now < holder.last_contact + plandraft.SILENT_MS
     )
 
