--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.evacuation import progress
 
 METRIC_PREFIX = 'laburnumlatch'
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
@@ -64,7 +65,9 @@
         )
         yield _latencies(self._agent)
         gauges = itertools.chain(
-            _load_gauges(self._agent), _state_gauges(self._agent)
+            _load_gauges(self._agent),
+            _state_gauges(self._agent),
+            _evacuation_gauges(self._agent),
         )
         for name, help_text, value in gauges:
             yield core.GaugeMetricFamily(
@@ -204,6 +207,25 @@
     )
 
 
+def _evacuation_gauges(agent):
+    left = progress.remaining(agent)
+    yield (
+        'evacuated_domains',
+        'Failure domains that the operator has evacuated.',
+        len(progress.effective_domains(agent)),
+    )
+    yield (
+        'evacuation_pieces_left',
+        'Key ranges that have yet to leave hosts of evacuated domains.',
+        left.pieces,
+    )
+    yield (
+        'evacuation_requests_left',
+        'Requests that have yet to leave this host of an evacuated domain.',
+        left.requests,
+    )
+
+
 def _age_s(now, updated_at):
     """Return the time since `updated_at` in seconds, -1 before any update."""
     return (now - updated_at) / clock.MS_PER_S if updated_at else -1
--- a/laburnumlatch/operators/report.py
+++ b/laburnumlatch/operators/report.py
@@ -73,6 +73,7 @@
         'planner': state.planner,
         'plans': [_plan_summary(plan) for plan in state.plans],
         'hosts': hosts(state),
+        'evacuations': _evacuations(state),
     }
 
 
@@ -133,6 +134,7 @@
             f'{host["host"]} {host["state"]}: {host["service"]} in '
             f'{host["domain"]} at {host["address"]}',
         )
+    lines.extend(_evacuation_lines(document['evacuations']))
     return '\n'.join((*lines, ''))
 
 
@@ -213,6 +215,39 @@
     }
 
 
+def _evacuations(state):
+    """Return the evacuated domains, and what has yet to leave their hosts.
+
+    `requests` are those at the agent's own host, None if it is not known.
+    """
+    host_ids = {
+        host.host_id for host in state.hosts if host.domain in state.evacuated
+    }
+    pieces = [
+        piece
+        for plan in state.plans
+        for piece in plan.pieces
+        if piece.host_id in host_ids or piece.former in host_ids
+    ]
+    return {
+        'domains': sorted(state.evacuated),
+        'pieces': len(pieces),
+        'keys': sum(piece.size for piece in pieces),
+        'requests': state.requests_left,
+    }
+
+
+def _evacuation_lines(evacuations):
+    if not evacuations['domains']:
+        return []
+    line = (
+        f'evacuated: {", ".join(evacuations["domains"])}; yet to leave: '
+        f'{evacuations["pieces"]} pieces with {evacuations["keys"]} keys'
+    )
+    requests = evacuations['requests']
+    return [line if requests is None else f'{line}, {requests} requests here']
+
+
 def _reason(piece):
     reason = (
         f'the plan gives keys {piece.start} to {piece.end} to {piece.host_id}'
--- a/laburnumlatch/operators/state.py
+++ b/laburnumlatch/operators/state.py
@@ -9,6 +9,7 @@
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.evacuation import progress
 from laburnumlatch.operators import configuration
 
 
@@ -18,6 +19,9 @@
 
     `planner` is the host ID of the planner role's holder, or empty. `entries`
     is empty for an agent, which reads only the configuration in force.
+    `evacuated` are the failure domains that the operator has evacuated, and
+    `requests_left` is how many requests have yet to leave the agent's host for
+    that reason, None for the store.
     """
 
     in_force: routes.Configuration | None = None
@@ -25,6 +29,8 @@
     plans: tuple[ranges.Plan, ...] = ()
     hosts: tuple[rows.HostRecord, ...] = ()
     planner: str = ''
+    evacuated: tuple[str, ...] = ()
+    requests_left: int | None = None
 
 
 def from_agent(agent):
@@ -34,6 +40,8 @@
         plans=tuple(row.plan for row in agent.plans),
         hosts=tuple(host.record for host in agent.hosts),
         planner=agent.role.holder,
+        evacuated=tuple(progress.effective_domains(agent)),
+        requests_left=progress.remaining(agent).requests,
     )
 
 
@@ -47,21 +55,27 @@
     services = await _unpacked_rows(
         store, configuration.TABLE, configuration.ServiceEntries
     )
+    table = codec.key.partition('/')[0]
+    operator_rows = (await store.read(f'{table}/')).rows
     return State(
-        in_force=await _in_force(store, codec),
+        in_force=_in_force(operator_rows, codec),
         entries=tuple(
             entry for service in services for entry in service.entries
         ),
         plans=await _unpacked_rows(store, members.PLAN_PREFIX, ranges.Plan),
         hosts=await _unpacked_rows(store, members.HOST_PREFIX, rows.HostRecord),
         planner=role_rows[0].holder if role_rows else '',
+        evacuated=tuple(
+            row.key.removeprefix(codec.evacuation_prefix)
+            for row in operator_rows
+            if row.key.startswith(codec.evacuation_prefix)
+        ),
     )
 
 
-async def _in_force(store, codec):
+def _in_force(operator_rows, codec):
     """Return the configuration that agents read, or None."""
-    table = codec.key.partition('/')[0]
-    for row in (await store.read(f'{table}/')).rows:
+    for row in operator_rows:
         if row.key == codec.key:
             return codec.decode(row.body)
     return None
--- a/laburnumlatch/platform/configrowcodec.py
+++ b/laburnumlatch/platform/configrowcodec.py
@@ -43,6 +43,7 @@
     """
 
     key = configlink.ROW
+    evacuation_prefix = configlink.EVACUATION_PREFIX
     max_bytes = MAX_ROW_BYTES
     max_writes = MAX_TRANSACTION_WRITES
 
