Take the newest entry of a key in a feed of the store

A feed may have a row and its removal, in any order, so that a withdrawn evacuation stayed or a new one was dropped. The decoding of pages has a module of its own. The stand-in store can remove rows.

--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -9,11 +9,9 @@
 
 import asyncio
 import base64
-import itertools
 import json
 from urllib import parse as urlparse
 
-import attrs
 from tornado import curl_httpclient
 from tornado import httpclient
 
@@ -25,6 +23,7 @@
 from laburnumlatch.core import storemsg
 from laburnumlatch.core import versions
 from laburnumlatch.platform import jsontext
+from laburnumlatch.platform import storepages
 
 CONNECT_TIMEOUT_MS = 600
 # A transaction takes 8 ms, and about 60 times as long if the store is slow.
@@ -42,14 +41,6 @@
 # The store's responses above its rate limits, and while it rejects a host.
 REJECTED_STATUSES = frozenset((429, 503))
 MAX_CLIENTS = 12
-_DECODE_ERRORS = (
-    errors.InvalidInputError,
-    ValueError,
-    TypeError,
-    KeyError,
-    IndexError,
-    AttributeError,
-)
 
 _log = logs.logger('store')
 
@@ -91,7 +82,7 @@
             query = {'table': name, 'part': '', 'from': start}
             if prefix:
                 query['to'] = f'{prefix}{LAST_CHARACTER}'
-            page = _decode_page(*await self._call('/rows-get', query))
+            page = storepages.decode(*await self._call('/rows-get', query))
             rows.extend(page.rows)
             # Later pages may have newer rows than the version of the first
             # page; a watch from that version returns them again.
@@ -156,7 +147,7 @@
         )
         if not _are_of_epoch(conditions, epoch):
             raise errors.StoreUnavailableError('the store was restored')
-        return versions.join(epoch, _decode_version(document))
+        return versions.join(epoch, storepages.decode_version(document))
 
     async def _call_watch(self, table, after, wait_ms):
         query = {
@@ -169,7 +160,7 @@
         )
         if epoch != versions.epoch_of(after):
             raise errors.HistoryGoneError('the store was restored')
-        page = _decode_page(document, epoch)
+        page = storepages.decode(document, epoch)
         return storemsg.Changes(page.rows, page.version, page.removed)
 
     async def _call(self, path, query, timeout_ms=TIMEOUT_MS, **options):
@@ -250,80 +241,3 @@
 def _encode_key(key):
     table, _, row_key = key.partition('/')
     return {'table': table, 'part': '', 'key': row_key}
-
-
-@attrs.define(frozen=True)
-class _Page:
-    """The valid rows of one response, and the keys of removed ones.
-
-    `last_key` is the key of the last row if more pages follow, else None.
-    """
-
-    rows: tuple
-    version: int
-    last_key: str | None
-    removed: tuple = ()
-
-
-def _decode_page(document, epoch):
-    try:
-        entries = document['rows']
-        last_key = None
-        if entries and document.get('has_more'):
-            last_key = jsontext.get_text(entries[-1], 'key')
-        rows = tuple(
-            itertools.chain.from_iterable(
-                _valid_row(fields, epoch) for fields in entries
-            )
-        )
-    except _DECODE_ERRORS as error:
-        raise errors.StoreUnavailableError(
-            f'bad response: {error!r}'
-        ) from error
-    version = versions.join(epoch, _decode_version(document))
-    removed = tuple(
-        itertools.chain.from_iterable(_removed_key(row) for row in entries)
-    )
-    return _Page(rows, version, last_key, removed)
-
-
-def _decode_version(document):
-    try:
-        return jsontext.get_unsigned_int(document, 'ver')
-    except _DECODE_ERRORS as error:
-        raise errors.StoreUnavailableError(
-            f'bad response: {error!r}'
-        ) from error
-
-
-def _valid_row(fields, epoch):
-    """Yield the row unless it is removed or invalid; log invalid ones."""
-    try:
-        if not fields.get('removed'):
-            yield _decode_row(fields, epoch)
-    except _DECODE_ERRORS as error:
-        _log.error('row-unreadable', row=f'{fields!r:.80}', detail=repr(error))
-
-
-def _removed_key(fields):
-    """Yield the key of the row if it is removed."""
-    if isinstance(fields, dict) and fields.get('removed'):
-        try:
-            yield _full_key(fields)
-        except _DECODE_ERRORS as error:
-            _log.error(
-                'row-unreadable', row=f'{fields!r:.80}', detail=repr(error)
-            )
-
-
-def _full_key(fields):
-    table = jsontext.get_text(fields, 'table')
-    return f'{table}/{jsontext.get_text(fields, "key")}'
-
-
-def _decode_row(fields, epoch):
-    return storemsg.StoreRow(
-        _full_key(fields),
-        versions.join(epoch, jsontext.get_unsigned_int(fields, 'ver')),
-        base64.b64decode(jsontext.get_text(fields, 'value'), validate=True),
-    )
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -40,11 +40,13 @@
 class Store:
     """Rows by (table, key) as (version, body).
 
+    `removals` has the versions of removed rows.
     `version` counts the transactions on all tables. `era` counts how often the
     store came back from a copy. `calls` counts requests by path.
     """
 
     rows: dict[tuple[str, str], tuple[int, bytes]] = attrs.Factory(dict)
+    removals: dict[tuple[str, str], int] = attrs.Factory(dict)
     faults: Faults = attrs.Factory(Faults)
     version: int = 0
     era: int = 0
@@ -55,19 +57,35 @@
         self.version += 1
         for table, key, body in rows:
             self.rows[table, key] = (self.version, body)
+            self.removals.pop((table, key), None)
+
+    def remove(self, table, key):
+        """Remove a row in one transaction."""
+        self.version += 1
+        self.rows.pop((table, key))
+        self.removals[table, key] = self.version
+
+    def removed(self, name, after):
+        """Return (key, version) of rows removed after version `after`."""
+        return [
+            (key, version)
+            for (table, key), version in self.removals.items()
+            if table == name and version > after
+        ]
 
     def copy(self):
         """Return a copy of all rows, for `restore`."""
-        return self.version, dict(self.rows)
+        return self.version, dict(self.rows), dict(self.removals)
 
     def restore(self, copy):
         """Go back to a copy from `copy`; all later writes are lost.
 
         Their version numbers are given out again.
         """
-        version, rows = copy
+        version, rows, removals = copy
         self.version = version
         self.rows = dict(rows)
+        self.removals = dict(removals)
         self.era += 1
 
     def table(self, name, after=0):
@@ -133,7 +151,7 @@
     """`GET /rows-feed`: long poll for changed rows of a table."""
 
     async def get(self):
-        """Return the rows newer than version `after`.
+        """Return the rows written or removed after version `after`.
 
         Waits up to `wait_ms` for the first one, then returns none.
         """
@@ -145,11 +163,28 @@
         if after > self._store.version:
             self.send_error(STATUS_GONE)
             return
-        changed = self._store.table(table, after)
+        changed = self._changed(table, after)
         while not changed and loop.time() < deadline:
             await asyncio.sleep(FEED_POLL_INTERVAL_S)
-            changed = self._store.table(table, after)
-        self.respond(rows=[_wire_row(table, row) for row in changed])
+            changed = self._changed(table, after)
+        self.respond(rows=changed)
+
+    def _changed(self, table, after):
+        """Return the JSON forms of changed rows; of removed ones the key."""
+        removals = self._store.removed(table, after)
+        return [
+            *(_wire_row(table, row) for row in self._store.table(table, after)),
+            *(
+                {
+                    'table': table,
+                    'part': '',
+                    'key': key,
+                    'ver': version,
+                    'removed': True,
+                }
+                for key, version in removals
+            ),
+        ]
 
 
 class TransactionHandler(Handler):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,6 +11,7 @@
 
 from laburnumlatch.core import errors
 from laburnumlatch.core import store
+from laburnumlatch.platform import storepages
 from laburnumlatch.platform import tablestore
 
 WRITE = store.Write('plans/bokun', b'plan', 0)
@@ -117,6 +118,33 @@
         server.stop()
 
 
+def entry(key, version, **fields):
+    """Return the JSON form of a row of the table `op`."""
+    value = {'removed': True} if fields.get('removed') else {'value': ''}
+    return {'table': 'op', 'part': '', 'key': key, 'ver': version, **value}
+
+
+class TestRemovedRows:
+    """Rows that a feed reports as removed."""
+
+    def test_newest_entry_of_a_key_counts(self):
+        """Guards against an evacuation that outlives its withdrawal.
+
+        A feed may have a row and its removal, in any order. An entry without a
+        version is left out.
+        """
+        entries = [
+            entry('a', 31),
+            entry('a', 32, removed=True),
+            entry('b', 34),
+            entry('b', 33, removed=True),
+            entry('c', 'x', removed=True),
+        ]
+        page = storepages.decode({'ver': 40, 'rows': entries}, 0)
+        assert [row.key for row in page.rows] == ['op/b']
+        assert page.removed == ('op/a',)
+
+
 class TestRestoredStore:
     """A store that comes back from a copy, with versions given out again."""
 
