--- a/tests/test_evacuation_view.py
+++ b/tests/test_evacuation_view.py
@@ -82,14 +82,15 @@
         Hosts with nothing to report write begin and end only.
         """
         fleet = evacuations.deployment()
-        with logbook.TestHandler() as lines:
+        handler = logbook.TestHandler()
+        with handler:
             fleet.store.evacuate('d0', 'nowhere')
             fleet.run(5000)
             fleet.store.end_evacuation('d0')
             fleet.run(100)
         texts = [
             record.message
-            for record in lines.records
+            for record in handler.records
             if record.channel == 'evacuation'
         ]
         count = len(fleet.agents)
