--- a/laburnumlatch/mesh/evacuation/progress.py
+++ b/laburnumlatch/mesh/evacuation/progress.py
@@ -34,7 +34,8 @@
         if now < ends_at:
             agent.wake_at(ends_at)
     if agent.due(domains.PROGRESS_TIMER, PROGRESS_INTERVAL_MS, now):
-        _judge_domains(agent)
+        if any(not evacuation.is_known for evacuation in agent.evacuations):
+            _judge_domains(agent)
         _log_progress(agent)
 
 
@@ -100,9 +101,9 @@
     The planner logs it for all keys, and each host of an evacuated domain for
     its own requests.
     """
-    left = remaining(agent)
-    if not agent.role.is_held:
-        left = Remaining(requests=left.requests)
+    left = Remaining(requests=_open_here(agent))
+    if agent.role.is_held:
+        left = remaining(agent)
     if left != (agent.evacuation_progress or Remaining()):
         agent.evacuation_progress = left
         _log.info(
