--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -1,12 +1,14 @@
 """Simulated backend servers."""
 
 from laburnumlatch.experiments import fleetchecks
+from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import grantledger
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import ranges
 
 WORK_MS = 100
 SLOTS = 6
+NESTED_CALL_TIMEOUT_MS = 600
 STATUS_OK = 200
 STATUS_ERROR = 500
 # The clock of a backend server may run up to 2 % slow.
@@ -16,8 +18,11 @@
 class Backend:
     """A backend server that accepts fenced grants and runs requests.
 
-    A request runs for `work_ms`, then makes `nested_calls` requests to the
-    other service one after another, and gets a response with `status`.
+    A request runs for `work_ms`, or for the time that `work_by_path` has for
+    its path, varied at random by the factor `work_spread` either way. Then a
+    share `nested_share` of the requests makes `nested_calls` requests to
+    `nested_path` one after another, with `nested_timeout_ms` each; a response
+    has `status`.
 
     `clock_ratio` is the speed of the server's clock, by which it measures
     the hold time of grants. Faults are counted down: the next
@@ -41,7 +46,13 @@
         self.service = service
         self.work_ms = work_ms
         self.status = STATUS_OK
+        self.slots = SLOTS
+        self.work_by_path = {}
+        self.work_spread = 1
         self.nested_calls = 0
+        self.nested_share = 1
+        self.nested_path = fleetconfig.OTHER_PATH
+        self.nested_timeout_ms = NESTED_CALL_TIMEOUT_MS
         self.silent_connections = 0
         self.lost_answers = 0
         self.sheds = 0
@@ -64,6 +75,21 @@
         """Whether the agent on the same host can reach the server."""
         return self.is_up and not self.is_cut
 
+    def draw_work_ms(self, head):
+        """Return how long a request with this head runs, in ms."""
+        path = head.target[: head.target.rfind('/') + 1]
+        usual_ms = self.work_by_path.get(path, self.work_ms)
+        if self.work_spread == 1:
+            return usual_ms
+        factor = self.work_spread ** self.fleet.rng.uniform(-1, 1)
+        return max(1, int(usual_ms * factor))
+
+    def makes_calls(self):
+        """Return whether the next request makes nested calls."""
+        if not self.nested_calls or self.nested_share == 1:
+            return bool(self.nested_calls)
+        return self.fleet.rng.random() < self.nested_share
+
     def restart(self):
         """Start a new life without any grants."""
         self.is_up = True
@@ -81,7 +107,7 @@
             life=self.life,
             service=self.service,
             address=f'{self.host_id}:80',
-            slots=SLOTS,
+            slots=self.slots,
             is_draining=self.is_draining,
             sequence=self.sequence,
         )
--- a/laburnumlatch/experiments/fleetconfig.py
+++ b/laburnumlatch/experiments/fleetconfig.py
@@ -7,6 +7,8 @@
 
 SERVICE = 'bokun'
 OTHER_SERVICE = 'moti'
+# The path of requests to the other service.
+OTHER_PATH = '/'
 KEY_COUNT = 65_536
 # One-way delay of a message between two hosts.
 NETWORK_DELAY_MS = 2
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -168,7 +168,7 @@
         """
         number = next(self.request_numbers)
         service = fleetconfig.OTHER_SERVICE
-        if path != '/':
+        if path != fleetconfig.OTHER_PATH:
             service = fleetconfig.SERVICE
         head = messages.Head(
             method='GET',
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -6,7 +6,6 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.mesh import messages
 
-NESTED_CALL_TIMEOUT_MS = 600
 # A forward to an unreachable host fails after this time.
 CONNECT_TIMEOUT_MS = 500
 BYTES_PER_KB = 1000
@@ -52,6 +51,7 @@
                 wait_ms=answered.wait_ms,
                 work_ms=answered.work_ms,
                 held_ms=answered.held_ms,
+                waits=answered.waits,
             )
         for refusal in outbox.take(messages.ReplyRefusal):
             self._reply(
@@ -62,6 +62,7 @@
                 verdict=refusal.verdict,
                 retry_after_ms=refusal.retry_after_ms,
                 wait_ms=refusal.wait_ms,
+                waits=refusal.waits,
             )
 
     def fail_forwards_to(self, host_id):
@@ -151,15 +152,14 @@
             return
         if self._meets_fault(host_id, backend, send):
             return
-        end = self._fleet.now + backend.work_ms
+        work_ms = backend.draw_work_ms(send.head)
+        end = self._fleet.now + work_ms
         backend.running[send.number] = (key, end)
         backend.started.append((self._fleet.now, send.head.request_id))
         action = (
-            self._make_nested_calls if backend.nested_calls else self._finish
-        )
-        self._fleet.schedule(
-            backend.work_ms, action, host_id, backend.life, send
+            self._make_nested_calls if backend.makes_calls() else self._finish
         )
+        self._fleet.schedule(work_ms, action, host_id, backend.life, send)
 
     def _meets_fault(self, host_id, backend, send):
         """Return whether a fault of the server keeps a request from running."""
@@ -218,12 +218,18 @@
             return
         number = self._fleet.call(
             host_id,
-            '/',
-            time_left_ms=NESTED_CALL_TIMEOUT_MS,
+            backend.nested_path,
+            key=self._nested_key(backend.nested_path),
+            time_left_ms=backend.nested_timeout_ms,
             request_id=f'{send.head.request_id}.{finished_calls}',
         )
         self._await_nested_call(host_id, life, send, finished_calls, number)
 
+    def _nested_key(self, path):
+        if path == fleetconfig.OTHER_PATH:
+            return None
+        return self._fleet.rng.randrange(fleetconfig.KEY_COUNT)
+
     def _await_nested_call(self, host_id, life, send, finished_calls, number):
         outcome = self._fleet.outcomes[number]
         if outcome is None:
--- /dev/null
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -0,0 +1,221 @@
+"""Loads on services that are short of capacity, by kind of request.
+
+The routes are those of a deployment in which a divided service runs long
+reads of little urgency, short urgent requests, and the nested calls of
+requests that run at another service.
+"""
+
+import attrs
+
+from laburnumlatch.experiments import fleetbackend
+from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetload
+from laburnumlatch.experiments import fleetsim
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import routes
+
+# The divided service and the one that is not.
+_READS = fleetconfig.SERVICE
+_DISPATCH = fleetconfig.OTHER_SERVICE
+
+
+def _route(name, service, prefix, kind, timing, priority):
+    """Return a route; `timing` is its target and timeout in ms."""
+    target_ms, timeout_ms = timing
+    return routes.Route(
+        name=name,
+        host=f'{service}.example',
+        prefix=prefix,
+        kind=kind,
+        shares=(routes.Share(service, 1),),
+        timeout_ms=timeout_ms,
+        target_ms=target_ms,
+        priority=priority,
+        attempts=2,
+    )
+
+
+_SAFE = routes.Kind.SAFE
+_ONCE = routes.Kind.ONCE
+_ROUTES = (
+    _route('dispatch', _DISPATCH, '/', _ONCE, (1019, 3057), 1),
+    _route('history', _READS, '/history/', _SAFE, (3007, 6015), 2),
+    _route('status', _READS, '/status/', _SAFE, (510, 2550), 0),
+    _route('fault', _READS, '/fault/', _ONCE, (610, 2033), 1),
+    _route('asset', _READS, '/asset/', _SAFE, (208, 623), 1),
+)
+CONFIGURATION = attrs.evolve(fleetconfig.CONFIGURATION, routes=_ROUTES)
+_BY_NAME = {route.name: route for route in _ROUTES}
+WORK_MS = {
+    '/': 290,
+    '/history/': 550,
+    '/status/': 220,
+    '/fault/': 180,
+    '/asset/': 55,
+}
+SLOTS = 3
+NESTED_SHARE = 0.8
+# Other programs on a machine slow its server down about a fifth of the time.
+SLOW_RATIO = 3
+SLOW_MS = 400
+SLOW_INTERVAL_MS = 2000
+
+
+@attrs.define(frozen=True)
+class OverloadPattern:
+    """A load of several kinds at once, with the settings to compare with.
+
+    `loads` has fields of `fleetload.Load` by the name of the route. `before`
+    are fields of `settings.Settings` that select the former policy.
+    """
+
+    name: str
+    loads: dict
+    before: dict = attrs.Factory(dict)
+    owners: int = 6
+    spread: float = 1
+    has_slow_spells: bool = False
+    duration_ms: int = 8000
+
+    def measure(self, host_settings, seed=1):
+        """Return the `Shares` of each kind of request with these settings."""
+        fleet = deployment(self.owners, host_settings, seed)
+        for backend in fleet.backends.values():
+            backend.work_spread = self.spread
+            if self.has_slow_spells:
+                _schedule_slow_spells(fleet, backend, self.duration_ms)
+        loads = {
+            name: _load(fleet, name, fields)
+            for name, fields in self.loads.items()
+        }
+        run(fleet, tuple(loads.values()), self.duration_ms)
+        return {name: _shares(name, load) for name, load in loads.items()}
+
+
+@attrs.define(frozen=True)
+class Shares:
+    """Shares of callers: answered in time, answered at all, failed after work.
+
+    A request fails after work if its server responds with an error because a
+    nested call was refused.
+    """
+
+    in_time: float
+    answered: float
+    lost_work: float
+
+
+def deployment(owners=6, host_settings=None, seed=1):
+    """Return a fleet of this configuration that has settled."""
+    hosts = [(f'b{n}', _READS, f'd{n % 3}') for n in range(owners)]
+    hosts += [(f'm{n}', _DISPATCH, f'd{n % 3}') for n in range(4)]
+    settings = {host[0]: host_settings or {} for host in hosts}
+    fleet = fleetsim.Fleet(
+        hosts, seed, configuration=CONFIGURATION, host_settings=settings
+    )
+    for backend in fleet.backends.values():
+        backend.work_by_path = dict(WORK_MS)
+        if backend.service == _READS:
+            backend.slots = SLOTS
+            continue
+        backend.nested_calls = 1
+        backend.nested_share = NESTED_SHARE
+        backend.nested_path = '/asset/'
+        backend.nested_timeout_ms = _BY_NAME['asset'].timeout_ms
+    fleet.run(fleetsim.SETTLE_MS)
+    return fleet
+
+
+def run(fleet, loads, duration_ms):
+    """Send all loads side by side, then wait until all requests have ended."""
+    for _ in range(duration_ms // fleetload.STEP_MS):
+        for load in loads:
+            load.send()
+        fleet.run(fleetload.STEP_MS)
+        for load in loads:
+            load.process_outcomes()
+    longest_ms = max(load.patience_ms for load in loads)
+    for _ in range(longest_ms // fleetload.STEP_MS):
+        fleet.run(fleetload.STEP_MS)
+        for load in loads:
+            load.process_outcomes()
+
+
+def compare(pattern):
+    """Return the shares by kind `before` and `now`."""
+    return {
+        'before': pattern.measure(pattern.before),
+        'now': pattern.measure({}),
+    }
+
+
+def as_text(figures):
+    """Return the lines of one pattern; `figures` is a result of `compare`."""
+    return '\n'.join(
+        f'  {kind}: in time {before.in_time:.2f} before,'
+        f' {figures["now"][kind].in_time:.2f} now; lost after work'
+        f' {before.lost_work:.2f} before,'
+        f' {figures["now"][kind].lost_work:.2f} now'
+        for kind, before in figures['before'].items()
+    )
+
+
+def _load(fleet, name, fields):
+    route = _BY_NAME[name]
+    return fleetload.Load(
+        fleet, route.prefix, patience_ms=route.timeout_ms, **fields
+    )
+
+
+def _shares(name, load):
+    route = _BY_NAME[name]
+    outcomes = [load.fleet.outcomes[number] for number in load.started]
+    lost = sum(
+        isinstance(outcome, messages.Deliver)
+        and outcome.answer.status == fleetbackend.STATUS_ERROR
+        for outcome in outcomes
+    )
+    return Shares(
+        in_time=load.share_answered_within(route.target_ms),
+        answered=load.share_answered_within(route.timeout_ms),
+        lost_work=lost / load.caller_count,
+    )
+
+
+def _schedule_slow_spells(fleet, backend, duration_ms):
+    usual = dict(backend.work_by_path)
+    slow = {path: SLOW_RATIO * usual_ms for path, usual_ms in usual.items()}
+    start = fleet.rng.randrange(SLOW_INTERVAL_MS)
+    for begin in range(start, duration_ms, SLOW_INTERVAL_MS):
+        fleet.schedule(begin, setattr, backend, 'work_by_path', slow)
+        fleet.schedule(begin + SLOW_MS, setattr, backend, 'work_by_path', usual)
+
+
+def patterns():
+    """Return all patterns in a dict by name."""
+    all_patterns = (
+        OverloadPattern(
+            'calls',
+            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.36}},
+        ),
+        OverloadPattern(
+            'calls-spread',
+            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.3}},
+            spread=3,
+        ),
+        OverloadPattern(
+            'calls-slow-spells',
+            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.3}},
+            has_slow_spells=True,
+        ),
+        OverloadPattern(
+            'mixed',
+            {
+                'dispatch': {'per_step': 0.3, 'retries': 1},
+                'history': {'per_step': 0.3, 'retries': 1},
+                'status': {'per_step': 0.3, 'retries': 1},
+                'fault': {'per_step': 0.15, 'retries': 1},
+            },
+        ),
+    )
+    return {pattern.name: pattern for pattern in all_patterns}
