Rank nested calls by their origin, and let them wait while it can use them

Cause: a nested call waited at most 0.6 of its own short target, was ranked by its own route, and its forecast counted 150 ms for a route not seen yet, times a slowdown that the elapsed time of long reads showed on steady load. Its refusal lost the work on the request that made it.

Change: calls carry rank, deadline and end of the target time of their origin, also calls of calls. They wait while the origin can use the response; one that would make the origin late goes behind the others of its rank, and calls go by the target time of their origin, so that those with most work spent go first. Expected work comes from the route alone. The slowdown compares running requests with the length of requests that are found running, and the forecast fills the slots as they become free. The former policy is kept and selected by wait_policy = target.

The test of the bound on nested calls names the former policy, whose bound it is.

--- a/laburnumlatch/experiments/overloadloads.py
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -54,6 +54,10 @@
     '/asset/': 55,
 }
 SLOTS = 3
+# Requests in each step of `fleetload`, by route. Six hosts run 0.33 reads.
+_BUSY = {'dispatch': 0.3, 'history': 0.36}
+_MODERATE = {'dispatch': 0.3, 'history': 0.3}
+_MIXED = {'dispatch': 0.3, 'history': 0.3, 'status': 0.3, 'fault': 0.15}
 NESTED_SHARE = 0.8
 # Other programs on a machine slow its server down about a fifth of the time.
 SLOW_RATIO = 3
@@ -71,7 +75,7 @@
 
     name: str
     loads: dict
-    before: dict = attrs.Factory(dict)
+    before: dict = attrs.Factory(lambda: {'wait_policy': 'target'})
     owners: int = 6
     spread: float = 1
     has_slow_spells: bool = False
@@ -194,28 +198,19 @@
 def patterns():
     """Return all patterns in a dict by name."""
     all_patterns = (
+        OverloadPattern('calls', _requests(_BUSY)),
+        OverloadPattern('calls-spread', _requests(_MODERATE), spread=3),
         OverloadPattern(
-            'calls',
-            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.36}},
-        ),
-        OverloadPattern(
-            'calls-spread',
-            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.3}},
-            spread=3,
-        ),
-        OverloadPattern(
-            'calls-slow-spells',
-            {'dispatch': {'per_step': 0.3}, 'history': {'per_step': 0.3}},
-            has_slow_spells=True,
-        ),
-        OverloadPattern(
-            'mixed',
-            {
-                'dispatch': {'per_step': 0.3, 'retries': 1},
-                'history': {'per_step': 0.3, 'retries': 1},
-                'status': {'per_step': 0.3, 'retries': 1},
-                'fault': {'per_step': 0.15, 'retries': 1},
-            },
+            'calls-slow-spells', _requests(_MODERATE), has_slow_spells=True
         ),
+        OverloadPattern('mixed', _requests(_MIXED, retries=1)),
     )
     return {pattern.name: pattern for pattern in all_patterns}
+
+
+def _requests(rates, retries=0):
+    """Return the fields of a load for each route of `rates`."""
+    return {
+        name: {'per_step': rate, 'retries': retries}
+        for name, rate in rates.items()
+    }
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -16,6 +16,8 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import queue
 
 # A queued request is refused once the time to its deadline is less than this
 # share of its expected work time.
@@ -43,7 +45,7 @@
                 request,
                 messages.Reason.TOO_LATE,
                 agent.wait_policy.retry_after_ms(
-                    worktimes.expected_wait_ms(agent)
+                    forecast.expected_wait_ms(agent)
                 ),
             )
 
@@ -76,10 +78,9 @@
             share=agent.throttles.get(request.route).share,
         )
         return Rejection(messages.Reason.CALLS_FAIL, throttling.RETRY_AFTER_MS)
-    wait_ms = worktimes.expected_wait_ms(agent, request)
-    slack_ms = (
-        request.deadline - now - worktimes.current_work_ms(agent, request.route)
-    )
+    work_ms = worktimes.expected_work_ms(agent, request)
+    order, wait_ms = _place_in_queue(agent, request, now, work_ms)
+    slack_ms = _useful_until(request) - now - work_ms
     max_wait_ms = int(agent.wait_policy.max_wait_ms(request, slack_ms))
     decisions.record(
         agent,
@@ -96,17 +97,27 @@
         )
     request.state = rows.RequestState.QUEUED
     request.host_id = agent.host_id
-    agent.queue.put(request.number, request)
+    agent.queue.join(queue.Entry(request, order, work_ms, now + max_wait_ms))
     return None
 
 
+def _place_in_queue(agent, request, now, work_ms):
+    """Return the order of a request in the queue, and its expected wait."""
+    order = agent.wait_policy.rank(request)
+    wait_ms = forecast.expected_wait_ms(agent, order)
+    if request.is_nested:
+        is_late = now + wait_ms + work_ms > request.origin_target_end
+        if is_late:
+            order = agent.wait_policy.late_rank(request)
+            return order, forecast.expected_wait_ms(agent, order)
+    return order, wait_ms
+
+
 def startable_requests(agent, now):
     """Return the queued requests that may start now, in starting order."""
-    startable = [
+    return [
         request for request in agent.queue if may_start(agent, request, now)
     ]
-    startable.sort(key=agent.wait_policy.rank)
-    return startable
 
 
 def may_start(agent, request, now):
@@ -139,7 +150,10 @@
 
 
 def _is_too_late(agent, request, now):
-    needed_ms = (
-        worktimes.current_work_ms(agent, request.route) * MIN_TIME_LEFT_RATIO
-    )
-    return now + needed_ms > request.deadline
+    needed_ms = worktimes.expected_work_ms(agent, request) * MIN_TIME_LEFT_RATIO
+    return now + needed_ms > _useful_until(request)
+
+
+def _useful_until(request):
+    """Return until when a response is of use, in ms of the agent's clock."""
+    return min(request.deadline, request.origin_deadline)
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -19,6 +19,7 @@
 from laburnumlatch.mesh import settings as settings_module
 from laburnumlatch.mesh import storeretry
 from laburnumlatch.mesh import waiting
+from laburnumlatch.mesh.overload import queue as queue_module
 
 
 @attrs.define(kw_only=True)
@@ -29,7 +30,8 @@
 
     - `hosts`: `rows.Host` by host ID, as in the members table of the store.
     - `requests`: open `rows.Request` by number; `queue` holds those that
-      wait for a slot of the local backend server, `parked` those that wait
+      wait for a slot of the local backend server, `running` those that have
+      one, `parked` those that wait
       until a host is chosen for them again, `held` those that wait for
       earlier requests of their connection.
     - `connections`: `rows.CallerConnection` by number, while it has open
@@ -41,8 +43,9 @@
       server ID; `departure_calls`: calls that wait until `departure_log` has
       them, with the time at which they are answered at the latest.
     - `split_credits`: the state of the weighted round robin, by route.
-    - `work_times`, `throttles`, `retry_windows`: what is learned about
-      routes and services from finished requests.
+    - `work_times`, `reported_work_times`, `throttles`, `retry_windows`: what
+      is learned about routes and services from finished requests; the second
+      has the work times that other hosts report.
     - `plans`: the newest known plan as `leaserows.PlanRow`, by service;
       `plan_writes`: the plans that this agent, as planner, is writing.
     - `holdings`: key ranges granted to the local backend server;
@@ -71,13 +74,14 @@
     settings: settings_module.Settings
     rng: random.Random
     started: int
-    wait_policy: waiting.WaitPolicy = attrs.Factory(waiting.TargetWaitPolicy)
+    wait_policy: waiting.WaitPolicy = attrs.Factory(waiting.ValueWaitPolicy)
     host_policy: choosing.HostPolicy = attrs.Factory(choosing.SoonestEndPolicy)
     configuration: routes.Configuration | None = None
     backend: rows.Backend | None = None
     hosts: tables.Table = attrs.Factory(tables.Table)
     requests: tables.Table = attrs.Factory(tables.Table)
-    queue: tables.Table = attrs.Factory(tables.Table)
+    queue: queue_module.RequestQueue = attrs.Factory(queue_module.RequestQueue)
+    running: tables.Table = attrs.Factory(tables.Table)
     parked: tables.Table = attrs.Factory(tables.Table)
     held: tables.Table = attrs.Factory(tables.Table)
     connections: tables.Table = attrs.Factory(tables.Table)
@@ -89,6 +93,7 @@
     departure_log: rows.DepartureLog = attrs.Factory(rows.DepartureLog)
     split_credits: tables.Table = attrs.Factory(tables.Table)
     work_times: tables.Table = attrs.Factory(tables.Table)
+    reported_work_times: tables.Table = attrs.Factory(tables.Table)
     throttles: tables.Table = attrs.Factory(tables.Table)
     retry_windows: tables.Table = attrs.Factory(tables.Table)
     plans: tables.Table = attrs.Factory(tables.Table)
@@ -178,4 +183,9 @@
 
 def create(settings, seed, now):
     """Return the initial state of an agent that starts at `now`, in ms."""
-    return AgentState(settings=settings, rng=random.Random(seed), started=now)
+    return AgentState(
+        settings=settings,
+        rng=random.Random(seed),
+        started=now,
+        wait_policy=waiting.named(settings.wait_policy),
+    )
--- a/laburnumlatch/mesh/choosing.py
+++ b/laburnumlatch/mesh/choosing.py
@@ -3,6 +3,7 @@
 import abc
 
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import forecast
 
 # Traffic between failure domains is expensive: a host in another domain is
 # chosen only if a request ends sooner there by this time, plus a time for
@@ -96,7 +97,7 @@
     this agent, with the new one, that exceed the slots of that host.
     """
     if host.host_id == agent.host_id:
-        return worktimes.expected_wait_ms(agent)
+        return forecast.expected_wait_ms(agent)
     reported_ms = max(0, host.wait_ms - (agent.now - host.reported_at))
     slots = max(1, host.record.slots)
     excess_requests = max(0, host.in_flight + 1 - slots)
@@ -119,5 +120,8 @@
 def _last_work_ms(agent, request, host):
     """Return the work time here now, or the last one that a host reported."""
     if host.host_id == agent.host_id:
-        return worktimes.current_work_ms(agent, request.route)
-    return host.work_ms.get(request.route, worktimes.DEFAULT_WORK_MS)
+        return worktimes.current_work_ms(agent, request)
+    work_ms = host.work_ms.get(request.route)
+    if work_ms is None:
+        return worktimes.work_ms_elsewhere(agent, request)
+    return work_ms
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -31,6 +31,7 @@
 def _start(agent, request, backend, now):
     agent.queue.pop(request.number)
     request.state = rows.RequestState.RUNNING
+    agent.running.put(request.number, request)
     backend.running += 1
     decisions.record(
         agent,
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -14,7 +14,7 @@
 from laburnumlatch.core import clock
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import retrybudget
-from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import forecast
 
 METRIC_PREFIX = 'laburnumlatch'
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
@@ -147,7 +147,7 @@
     yield (
         'queue_wait_seconds',
         'Expected wait of a new request in the queue.',
-        worktimes.expected_wait_ms(agent) / clock.MS_PER_S,
+        forecast.expected_wait_ms(agent) / clock.MS_PER_S,
     )
     yield (
         'backend_running',
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -59,8 +59,10 @@
     request = _request_of_caller(agent, arrived, route, now)
     if parent is not None:
         request.is_nested = True
+        request.rank = parent.rank
+        request.origin_deadline = min(parent.deadline, parent.origin_deadline)
         request.parent_route = parent.route
-        request.parent_target_end = parent.arrived_at + parent.target_ms
+        request.origin_target_end = parent.origin_target_end
     retrybudget.count_request(agent, request.service, now)
     _record_received(agent, request, now)
     _add(agent, request, now)
@@ -115,6 +117,7 @@
     if time_left_ms is None:
         time_left_ms = DEFAULT_TIMEOUT_MS
     read_at = now if arrived.read_at is None else arrived.read_at
+    target_ms = route.target_ms or DEFAULT_TARGET_MS
     caller_deadline = read_at + time_left_ms
     deadline = caller_deadline
     if route.timeout_ms is not None:
@@ -126,11 +129,14 @@
         service=_choose_service(agent, route),
         kind=route.kind,
         priority=route.priority,
+        rank=route.priority,
         attempts=route.attempts,
         arrived_at=read_at,
         deadline=deadline,
+        origin_deadline=deadline,
         caller_deadline=caller_deadline,
-        target_ms=route.target_ms or DEFAULT_TARGET_MS,
+        target_ms=target_ms,
+        origin_target_end=read_at + target_ms,
         route=route.name,
         connection=arrived.connection,
     )
@@ -145,9 +151,8 @@
     parent_id, dot, _suffix = request_id.rpartition('.')
     if not dot:
         return None
-    for request in agent.requests:
-        is_running = request.state == rows.RequestState.RUNNING
-        if is_running and request.request_id == parent_id:
+    for request in agent.running:
+        if request.request_id == parent_id:
             return request
     return None
 
@@ -176,7 +181,8 @@
 def _request_of_agent(forwarded, now):
     forward = forwarded.forward
     read_at = now if forwarded.read_at is None else forwarded.read_at
-    deadline = read_at + forward.time_left_ms - forwarded.waited_ms
+    sent_at = read_at - forwarded.waited_ms
+    deadline = sent_at + forward.time_left_ms
     return rows.Request(
         number=forwarded.number,
         head=forward.head,
@@ -184,6 +190,13 @@
         service=forward.service,
         kind=routes.Kind(forward.kind),
         priority=forward.priority,
+        rank=forward.priority if forward.rank is None else forward.rank,
+        origin_deadline=_later(sent_at, forward.origin_left_ms, deadline),
+        origin_target_end=_later(
+            sent_at,
+            forward.origin_target_left_ms,
+            read_at + forward.target_ms,
+        ),
         attempts=1,
         arrived_at=read_at,
         deadline=deadline,
@@ -197,6 +210,11 @@
     )
 
 
+def _later(sent_at, left_ms, default):
+    """Return the time `left_ms` after `sent_at`, `default` if it is None."""
+    return default if left_ms is None else sent_at + left_ms
+
+
 def _accept_forward(agent, forwarded, now):
     forward = forwarded.forward
     request = _request_of_agent(forwarded, now)
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -19,7 +19,7 @@
 from laburnumlatch.mesh import planepochs
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import role
-from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import forecast
 
 RENEW_MS = 400
 # The send times of this many renewals are kept; leases in response to older
@@ -92,7 +92,7 @@
         plan_versions=_plan_versions(agent),
         busy_ms=report.busy_ms,
         done=report.done,
-        wait_ms=worktimes.expected_wait_ms(agent),
+        wait_ms=forecast.expected_wait_ms(agent),
         grants_end_ms=max(0, grantends.grants_end(agent, now) - now),
         buckets=tuple(buckets),
         held_fences=tuple(
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -237,8 +237,9 @@
     `number` and `exchange` identify it at the sender. `plan_version` is the
     version of the plan by which the sender chose the host, 0 if the service
     is not divided by key. For a nested call, `rank` is the priority of the
-    request that began the chain of calls and `origin_left_ms` the time until
-    that one must end; they are None otherwise.
+    request that began the chain of calls, `origin_left_ms` the time until that
+    one must end, and `origin_target_left_ms` the time until the end of its
+    target time, negative if it is over; they are None otherwise.
     """
 
     number: int
@@ -255,6 +256,7 @@
     is_nested: bool = False
     rank: int | None = None
     origin_left_ms: int | None = None
+    origin_target_left_ms: int | None = None
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -80,6 +80,9 @@
         _update_wait(agent, request.host_id, ended.wait_ms, now)
         if host is not None and ended.work_ms is not None:
             host.work_ms[request.route] = ended.work_ms
+            worktimes.record_reported_work_time(
+                agent, request.route, ended.work_ms
+            )
         if host is not None and ended.held_ms is not None:
             _update_round_trip(host, request, ended.held_ms, now)
     requests.deliver(agent, request, ended.answer)
--- /dev/null
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -0,0 +1,51 @@
+"""When a slot of the local backend server becomes free, by what is known."""
+
+import itertools
+
+from laburnumlatch.mesh import worktimes
+
+
+def remaining_ms(agent):
+    """Return how long each slot stays occupied, in ms, shortest time first.
+
+    Requests that are found running are half finished on average. What is left
+    by the time since their start is no better a forecast in the loads of
+    `overloadloads`, as work times vary.
+    """
+    slowdown = worktimes.slowdown(agent)
+    lefts_ms = [
+        worktimes.found_running_ms(agent, request) * slowdown / 2
+        for request in agent.running
+    ]
+    free_slots = max(0, agent.backend.slots - len(lefts_ms))
+    lefts_ms.extend(itertools.repeat(0, free_slots))
+    return sorted(lefts_ms)
+
+
+def start_in_ms(lefts_ms, ahead_ms):
+    """Return when the next request starts after `ahead_ms` of other work.
+
+    `lefts_ms` is a result of `remaining_ms`. The work ahead is spread over the
+    slots as they become free, as if it could be divided.
+    """
+    for count, total_ms in enumerate(itertools.accumulate(lefts_ms), 1):
+        start_ms = (ahead_ms + total_ms) / count
+        if count == len(lefts_ms) or start_ms <= lefts_ms[count]:
+            return start_ms
+    return worktimes.SERVER_DOWN_WAIT_MS
+
+
+def expected_wait_ms(agent, order=None):
+    """Return how long a new request would wait in the queue here, in ms.
+
+    Only queued requests that start before `order` count; all count if it is
+    None.
+    """
+    backend = agent.backend
+    if backend is None or not backend.slots:
+        return worktimes.SERVER_DOWN_WAIT_MS
+    ahead_ms = agent.queue.work_ms_before(order)
+    if backend.running < backend.slots and not ahead_ms:
+        return 0
+    ahead_ms *= worktimes.slowdown(agent)
+    return int(start_in_ms(remaining_ms(agent), ahead_ms))
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -59,11 +59,15 @@
     work_ms: int
     held_ms: int
     body_bytes: int = 0
+    waits: tuple[int, ...] = ()
 
 
 @attrs.define(frozen=True)
 class Refused:
-    """Reports that an `Ask` ended without a response, with the reason."""
+    """Reports that an `Ask` ended without a response, with the reason.
+
+    `waits` is as in `messages.ReplyRefusal`.
+    """
 
     number: int
     exchange: int
@@ -71,6 +75,7 @@
     reason: messages.Reason
     retry_after_ms: int
     wait_ms: int
+    waits: tuple[int, ...] = ()
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -170,4 +170,16 @@
         route=request.route,
         plan_version=request.plan_version,
         is_nested=request.is_nested,
+        **_origin_fields(request, now),
     )
+
+
+def _origin_fields(request, now):
+    """Return the fields of a `Forward` about the origin of a nested call."""
+    if not request.is_nested:
+        return {}
+    return {
+        'rank': request.rank,
+        'origin_left_ms': request.origin_deadline - now,
+        'origin_target_left_ms': request.origin_target_end - now,
+    }
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import forecast
 
 MIN_RETRY_AFTER_MS = 50
 # Callers are asked to wait at most the time they have left, divided by this.
@@ -68,7 +69,7 @@
                 verdict,
                 reason,
                 retry_after_ms,
-                worktimes.expected_wait_ms(agent),
+                forecast.expected_wait_ms(agent),
             )
         )
         return
@@ -85,7 +86,7 @@
     is_in_time = age_ms <= request.target_ms
     if request.parent_route:
         call_end = throttling.CallEnd.IN_TIME
-        if not is_in_time and agent.now > request.parent_target_end:
+        if not is_in_time and agent.now > request.origin_target_end:
             call_end = throttling.CallEnd.LATE
         throttling.count_call(agent, request.parent_route, call_end)
     decisions.record_end(
@@ -107,8 +108,8 @@
             messages.ReplyAnswer(
                 request.number,
                 answer,
-                wait_ms=worktimes.expected_wait_ms(agent),
-                work_ms=int(worktimes.current_work_ms(agent, request.route)),
+                wait_ms=forecast.expected_wait_ms(agent),
+                work_ms=int(worktimes.current_work_ms(agent, request)),
                 held_ms=age_ms,
             ),
         )
@@ -142,6 +143,7 @@
     agent.parked.pop(request.number)
     agent.queue.pop(request.number)
     if request.state == rows.RequestState.RUNNING:
+        agent.running.pop(request.number)
         if agent.backend is not None:
             agent.backend.running -= 1
     elif request.state == rows.RequestState.FORWARDED:
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -213,11 +213,13 @@
     """Mean work time of a route at the local backend server.
 
     The work time of a request runs from when it is sent to that server until
-    the response comes. `count` is the number of requests in the mean.
+    the response comes. `count` is the number of requests in the mean, and
+    `mean_square` the mean of the squares of their work times, in ms.
     """
 
     mean_ms: float
     count: int = 0
+    mean_square: float = 0
 
 
 @attrs.define
@@ -275,11 +277,11 @@
     response any more.
 
     `is_nested` marks a call made by a request that runs at a backend server.
-    `parent_route` is the route of that request and `parent_target_end` the
-    end of its target time; both are known on the host of the parent only.
-    `rank` is the priority of the request that began the chain of calls, and
-    `origin_deadline` the time at which that one must end; for other requests
-    they are `priority` and `deadline`.
+    `parent_route` is the route of that request, known on its host only. `rank`
+    is the priority of the request that began the chain of calls,
+    `origin_deadline` the time at which that one must end, and
+    `origin_target_end` the end of its target time; for other requests they
+    are their own.
 
     `later_finished` counts requests of the route that were started later but
     finished first; a retry counts as `silence.MIN_LATER_FINISHED` of them.
@@ -315,9 +317,9 @@
     plan_version: int = 0
     is_nested: bool = False
     parent_route: str = ''
-    parent_target_end: int = 0
     rank: int = 0
     origin_deadline: int = 0
+    origin_target_end: int = 0
     later_finished: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_immediately: bool = False
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -46,7 +46,8 @@
     Addresses are `ip:port`. `peer_address` receives both frames (TCP) and
     lease datagrams (UDP) from other agents. `memory_bytes` is the memory
     limit of the whole process, `max_descriptors` that of its open descriptors.
-    `regions` has the region of each failure domain.
+    `regions` has the region of each failure domain. `wait_policy` is a name for
+    `waiting.named`.
     """
 
     host_id: str
@@ -67,3 +68,4 @@
     log_level: str = 'info'
     max_descriptors: int = 4096
     regions: dict[str, str] = attrs.Factory(dict)
+    wait_policy: str = 'value'
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -6,6 +6,8 @@
 
 import abc
 
+from laburnumlatch.core import errors
+
 # The longest wait of a request, as a share of its target. Callers retry safe
 # requests; other requests may be lost when refused, so they may wait longer.
 SAFE_MAX_WAIT_RATIO = 0.4
@@ -18,6 +20,10 @@
 NESTED_TARGET_RATIO = 3
 # A refused caller usually finds room after this share of the expected wait.
 RETRY_AFTER_RATIO = 0.6
+# A request is due at this share of its time, but at this multiple of its
+# target at the latest, so that callers with long timeouts are not last.
+DUE_RATIO = 1 / 3
+MAX_DUE_TARGETS = 2
 
 
 class WaitPolicy(abc.ABC):
@@ -27,6 +33,13 @@
     def rank(self, request):
         """Return the rank of a `rows.Request`; lower ranks start first."""
 
+    def late_rank(self, request):
+        """Return the rank of a nested call whose origin will miss its target.
+
+        By default it is the same as that of other calls.
+        """
+        return self.rank(request)
+
     @abc.abstractmethod
     def max_wait_ms(self, request, slack_ms):
         """Return the longest wait; a request that would wait longer is refused.
@@ -43,9 +56,56 @@
         """
 
 
+class ValueWaitPolicy(WaitPolicy):
+    """Delays or refuses first what costs callers least.
+
+    A nested call has the rank of the request that began it. Refusing it wastes
+    the work on that request, so it may wait as long as its response is of use.
+    The wait of other requests is bounded by their target.
+    """
+
+    def rank(self, request):
+        """Rank urgent requests first, then those whose time ends soonest.
+
+        Callers wait about three times as long as they would like to, so they
+        are due at a share of their time; one that comes back has less time
+        than a new one. A nested call is due when its origin is: the more work
+        has been done on that, the sooner.
+        """
+        if request.is_nested:
+            due = min(request.deadline, request.origin_target_end)
+            return request.rank, False, due
+        left_ms = request.deadline - request.arrived_at
+        due_ms = min(left_ms * DUE_RATIO, request.target_ms * MAX_DUE_TARGETS)
+        return request.rank, False, request.arrived_at + due_ms
+
+    def late_rank(self, request):
+        """Rank the call behind all others of its rank.
+
+        A response in time is worth more than a late one. If late calls went
+        first, because their time ends soonest, all calls would become late.
+        """
+        return request.rank, True, request.arrived_at
+
+    def max_wait_ms(self, request, slack_ms):
+        """Return a share of the target, at most the slack."""
+        if request.is_nested:
+            return slack_ms
+        ratio = ONCE_MAX_WAIT_RATIO
+        if request.is_safe:
+            ratio = SAFE_MAX_WAIT_RATIO
+        return min(slack_ms, ratio * request.target_ms)
+
+    def retry_after_ms(self, wait_ms):
+        """Return the share of the wait after which others have started."""
+        return wait_ms * RETRY_AFTER_RATIO
+
+
 class TargetWaitPolicy(WaitPolicy):
     """Bounds the wait by the target, and serves short targets first.
 
+    The baseline with which tests compare `ValueWaitPolicy`.
+
     This handles overload. With a bound near the deadline, the queue stays full
     up to that bound, and every request that starts has waited too long to end
     in time. With a bound within the target, as many requests start, but they
@@ -89,3 +149,17 @@
     def retry_after_ms(self, wait_ms):
         """Return the whole wait."""
         return wait_ms
+
+
+def named(name):
+    """Return the policy that the settings select; raise `InvalidInputError`."""
+    policies = {
+        'value': ValueWaitPolicy,
+        'target': TargetWaitPolicy,
+        'deadline': DeadlineWaitPolicy,
+    }
+    if name not in policies:
+        raise errors.InvalidInputError(
+            f'wait policy {name!r}: expected one of {", ".join(policies)}'
+        )
+    return policies[name]()
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -1,4 +1,4 @@
-"""Work times of requests at the local backend server, and the expected wait.
+"""Work times of requests at the local backend server and elsewhere.
 
 By these estimates agents choose hosts and refuse requests that would end too
 late.
@@ -7,6 +7,8 @@
 from laburnumlatch.mesh import rows
 
 DEFAULT_WORK_MS = 150.0
+# Targets are set to three to five times the usual work time of a route.
+UNKNOWN_WORK_RATIO = 0.3
 MIN_SAMPLE_WEIGHT = 0.1
 # Running requests show a slowdown only if they fill this share of the slots.
 MIN_BUSY_SLOT_RATIO = 0.5
@@ -14,12 +16,33 @@
 SERVER_DOWN_WAIT_MS = 800
 
 
-def current_work_ms(agent, route):
-    """Return how long a request of a route takes here now, in ms.
+def current_work_ms(agent, request):
+    """Return how long the work on a request takes here now, in ms.
 
-    This is the usual work time multiplied by the current slowdown.
+    This is the usual time multiplied by the slowdown that running requests of
+    its own route show.
     """
-    return usual_work_ms(agent, route) * slowdown(agent)
+    return expected_work_ms(agent, request) * slowdown(agent, request.route)
+
+
+def expected_work_ms(agent, request):
+    """Return the usual work time of the route of a request here, in ms.
+
+    Until a work time of the route is recorded here, it is what other hosts
+    report, else a share of its target, at most `DEFAULT_WORK_MS`.
+    """
+    work_time = agent.work_times.get(request.route)
+    if work_time is not None:
+        return work_time.mean_ms
+    return work_ms_elsewhere(agent, request)
+
+
+def work_ms_elsewhere(agent, request):
+    """Return the work time at a host of which no work time is known, in ms."""
+    work_time = agent.reported_work_times.get(request.route)
+    if work_time is not None:
+        return work_time.mean_ms
+    return min(DEFAULT_WORK_MS, request.target_ms * UNKNOWN_WORK_RATIO)
 
 
 def usual_work_ms(agent, route):
@@ -31,30 +54,43 @@
     return DEFAULT_WORK_MS if work_time is None else work_time.mean_ms
 
 
+def found_running_ms(agent, request):
+    """Return the mean work time of requests of a route that are found running.
+
+    Long requests run longer, so they are found more often: this is the mean of
+    the squares of the work times over the mean of the work times.
+    """
+    work_time = agent.work_times.get(request.route)
+    if work_time is None:
+        return work_ms_elsewhere(agent, request)
+    return work_time.mean_square / work_time.mean_ms
+
+
 def is_known(agent, route):
     """Return whether a work time of the route has been recorded here."""
     return agent.work_times.get(route) is not None
 
 
-def slowdown(agent):
+def slowdown(agent, route=None):
     """Return how many times longer than usual requests take now, at least 1.
 
     Requests that are still running show earlier than finished ones that the
-    backend server has become slow, or is still cold after a start.
+    backend server has become slow, or is still cold after a start. With
+    `route`, only requests of that route count.
     """
     backend = agent.backend
     if backend is None:
         return 1
     running = [
         request
-        for request in agent.requests
-        if request.state == rows.RequestState.RUNNING
+        for request in agent.running
+        if route is None or request.route == route
     ]
     if not running or len(running) < backend.slots * MIN_BUSY_SLOT_RATIO:
         # A few long requests are no evidence of a slow server.
         return 1
     elapsed_ms = sum(agent.now - request.started_at for request in running)
-    usual_ms = sum(usual_work_ms(agent, request.route) for request in running)
+    usual_ms = sum(found_running_ms(agent, request) for request in running)
     return max(1, elapsed_ms / usual_ms)
 
 
@@ -65,44 +101,29 @@
     counts only if it took longer than usual.
     """
     elapsed_ms = max(1, now - request.started_at)
-    usual_ms = usual_work_ms(agent, request.route)
+    usual_ms = expected_work_ms(agent, request)
     if has_failed and elapsed_ms < usual_ms:
         return
     work_time = agent.work_times.get(request.route)
     if work_time is None:
         work_time = agent.work_times.put(request.route, rows.WorkTime(usual_ms))
-    work_time.count += 1
-    # The first samples have equal weight, and the first one replaces the
-    # default, which is only a guess.
-    weight = max(MIN_SAMPLE_WEIGHT, 1 / work_time.count)
-    work_time.mean_ms += weight * (elapsed_ms - work_time.mean_ms)
+    _include(work_time, elapsed_ms)
     agent.load_report.busy_ms += elapsed_ms
     agent.load_report.done += 1
 
 
-def expected_wait_ms(agent, new_request=None):
-    """Return how long a new request would wait in the queue here, in ms.
-
-    Only queued requests that start before `new_request` count; all count if
-    it is None.
-    """
-    backend = agent.backend
-    if backend is None or not backend.slots:
-        return SERVER_DOWN_WAIT_MS
-    rank = agent.wait_policy.rank
-    queued_ms = [
-        usual_work_ms(agent, request.route)
-        for request in agent.queue
-        if new_request is None or rank(request) <= rank(new_request)
-    ]
-    if backend.running < backend.slots and not queued_ms:
-        return 0
-    # Running requests are half finished on average.
-    running_ms = backend.running * _mean_work_ms(agent) / 2
-    ahead_ms = (sum(queued_ms) + running_ms) * slowdown(agent)
-    return int(ahead_ms / backend.slots)
+def record_reported_work_time(agent, route, work_ms):
+    """Update the mean of the work times that other hosts report for a route."""
+    work_time = agent.reported_work_times.get(route)
+    if work_time is None:
+        work_time = agent.reported_work_times.put(route, rows.WorkTime(work_ms))
+    _include(work_time, max(1, work_ms))
 
 
-def _mean_work_ms(agent):
-    means_ms = [work_time.mean_ms for work_time in agent.work_times]
-    return sum(means_ms) / len(means_ms) if means_ms else DEFAULT_WORK_MS
+def _include(work_time, elapsed_ms):
+    work_time.count += 1
+    # The first samples have equal weight, and the first one replaces the
+    # default, which is only a guess.
+    weight = max(MIN_SAMPLE_WEIGHT, 1 / work_time.count)
+    work_time.mean_ms += weight * (elapsed_ms - work_time.mean_ms)
+    work_time.mean_square += weight * (elapsed_ms**2 - work_time.mean_square)
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -158,7 +158,10 @@
 
 
 class TestNestedCalls:
-    """Requests whose backend server calls another service."""
+    """Requests whose backend server calls another service.
+
+    `tests/test_mesh_overload.py` has the calls under `ValueWaitPolicy`.
+    """
 
     def test_requests_are_throttled_while_calls_fail(self, monkeypatch):
         """Guards against work on requests whose nested calls are refused.
@@ -225,7 +228,9 @@
         shares = []
         for constant in values:
             monkeypatch.setattr(module, name, constant)
-            fleet = fleetsim.deployment(divided=6, others=1)
+            fleet = fleetsim.deployment(
+                divided=6, others=1, wait_policy=waiting.TargetWaitPolicy()
+            )
             for backend in fleet.backends.values():
                 backend.nested_calls = 2 * (
                     backend.service == fleetconfig.SERVICE
