--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -38,6 +38,7 @@
 def _start(agent, request, backend, now):
     agent.queue.pop(request.number)
     request.state = rows.RequestState.RUNNING
+    agent.running.put(request.number, request)
     backend.running += 1
     decisions.record(
         agent,
