Keep requests of a route with regions on hosts in these regions

The list allowed_regions of a route was decoded and ignored: requests, bodies and nested calls went to any host of their service. Now hosts elsewhere, and those whose failure domain has no region in the settings, are left out of the choice, also for retries and as last resort. A request is refused as not run, for the new reason 'region', if the owner of its key is elsewhere or no known host of its service is in an allowed region.

A nested call takes the regions of its route and of the request that makes it. Those come with the forwarded request (Forward.regions, last, None by default) and are kept by request ID from the send to the own server until 30 s after the deadline, since a server may go on when its caller has left.

--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -42,6 +42,9 @@
       them, with the time at which they are answered at the latest.
     - `split_positions`: the next position in the sequence of a split route,
       from 0 to 1, by the name of the route.
+    - `region_bindings`: `rows.RegionBinding` by request ID, for nested calls
+      of the local backend server; `region_binding_ends`: those IDs by the time
+      at which they are dropped.
     - `work_times`, `throttles`, `retry_windows`: what is learned about
       routes and services from finished requests.
     - `plans`: the newest known plan as `leaserows.PlanRow`, by service;
@@ -89,6 +92,8 @@
     departure_calls: tables.Table = attrs.Factory(tables.Table)
     departure_log: rows.DepartureLog = attrs.Factory(rows.DepartureLog)
     split_positions: tables.Table = attrs.Factory(tables.Table)
+    region_bindings: tables.Table = attrs.Factory(tables.Table)
+    region_binding_ends: tables.DueQueue = attrs.Factory(tables.DueQueue)
     work_times: tables.Table = attrs.Factory(tables.Table)
     throttles: tables.Table = attrs.Factory(tables.Table)
     retry_windows: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -4,6 +4,7 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import regions
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
 
@@ -66,6 +67,7 @@
     A request that is sent again gets a new connection.
     """
     backend = agent.backend
+    regions.record_send(agent, request, now)
     request.exchange += 1
     request.started_at = now
     agent.outbox.post(
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -12,6 +12,7 @@
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import pipelining
+from laburnumlatch.mesh import regions
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import routes
@@ -83,6 +84,7 @@
         kind=request.kind,
         priority=request.priority,
         left_ms=request.deadline - now,
+        regions=regions.encode(request.regions),
         connection=request.connection or None,
         behind=pipelining.open_count(agent, request.connection),
     )
@@ -134,6 +136,7 @@
         target_ms=route.target_ms or DEFAULT_TARGET_MS,
         route=route.name,
         connection=arrived.connection,
+        regions=regions.binding_of_call(agent, route, arrived.head.request_id),
     )
 
 
@@ -174,6 +177,7 @@
         route=forward.route,
         plan_version=forward.plan_version,
         is_nested=forward.is_nested,
+        regions=regions.binding_of_forward(forward),
     )
 
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -37,7 +37,8 @@
     backend server refused to run the request. `CALLS_FAIL`: too many nested
     calls of the route fail. `TOO_LATE`: the deadline has passed or would pass.
     `BROKEN`: the exchange with the backend server failed or gave no valid
-    response.
+    response. `REGION`: the host that serves the request is in a region that
+    its route does not allow.
     """
 
     NOT_READY = 'not-ready'
@@ -46,6 +47,7 @@
     TOO_LARGE = 'too-large'
     NO_MEMORY = 'no-memory'
     NO_HOST = 'no-host'
+    REGION = 'region'
     NO_ROOM = 'no-room'
     NOT_OWNER = 'not-owner'
     SERVER_DOWN = 'server-down'
@@ -238,7 +240,8 @@
     version of the plan by which the sender chose the host, 0 if the service
     is not divided by key. For a nested call, `rank` is the priority of the
     request that began the chain of calls and `origin_left_ms` the time until
-    that one must end; they are None otherwise.
+    that one must end; they are None otherwise. `regions` are those whose hosts
+    the request and its nested calls may reach, None if all.
     """
 
     number: int
@@ -255,6 +258,7 @@
     is_nested: bool = False
     rank: int | None = None
     origin_left_ms: int | None = None
+    regions: tuple[str, ...] | None = None
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -8,6 +8,7 @@
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import regions
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
@@ -34,7 +35,9 @@
         _place_forwarded(agent, request, now)
         return
     host = _select_host(agent, request, now)
-    if host is None:
+    if regions.is_excluded(agent, request, host):
+        requests.refuse(agent, request, messages.Reason.REGION)
+    elif host is None:
         requests.park(agent, request, messages.Reason.NO_HOST)
     elif host.host_id == agent.host_id:
         rejection = admission.enqueue(agent, request, now)
@@ -48,7 +51,7 @@
     """Return whether another host of an undivided service can be tried."""
     return any(
         host.host_id not in request.tried_hosts
-        for host in _usable_hosts(agent, request.service, now)
+        for host in _usable_hosts(agent, request, now)
     )
 
 
@@ -98,14 +101,15 @@
     return _choose_host(agent, request, now)
 
 
-def _usable_hosts(agent, service, now):
-    """Return the available hosts of a service; if none is, all ready ones."""
+def _usable_hosts(agent, request, now):
+    """Return the available hosts for a request; if none is, all ready ones."""
     hosts = [
         host
         for host in agent.hosts
-        if host.record.service == service
+        if host.record.service == request.service
         and host.record.state == rows.HostState.READY
         and not domains.is_evacuated(agent, host.record.domain)
+        and regions.allows(agent, request, host)
     ]
     available = [host for host in hosts if _is_available(agent, host, now)]
     return available or hosts
@@ -119,7 +123,7 @@
 
 
 def _choose_host(agent, request, now):
-    hosts = _usable_hosts(agent, request.service, now)
+    hosts = _usable_hosts(agent, request, now)
     untried = [
         host for host in hosts if host.host_id not in request.tried_hosts
     ]
@@ -170,4 +174,5 @@
         route=request.route,
         plan_version=request.plan_version,
         is_nested=request.is_nested,
+        regions=regions.encode(request.regions),
     )
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -249,6 +249,14 @@
     open_numbers: list[int] = attrs.Factory(list)
 
 
+@attrs.define(frozen=True)
+class RegionBinding:
+    """Regions that bind the nested calls of a request, `until` a time in ms."""
+
+    regions: frozenset[str]
+    until: int
+
+
 @attrs.define
 class Request:
     """One request in this agent, from its arrival to its outcome.
@@ -281,6 +289,8 @@
     `origin_deadline` the time at which that one must end; for other requests
     they are `priority` and `deadline`.
 
+    `regions` are those whose hosts the request may reach, None if all.
+
     `later_finished` counts requests of the route that were started later but
     finished first; a retry counts as `silence.MIN_LATER_FINISHED` of them.
     `decisions` have not been logged yet; once `is_logged_immediately` is set,
@@ -318,6 +328,7 @@
     parent_target_end: int = 0
     rank: int = 0
     origin_deadline: int = 0
+    regions: frozenset[str] | None = None
     later_finished: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_immediately: bool = False
