Take a response without length for whole only if its request was written

The end of a connection counted as the end of the body whatever error came with it, once the server had ended its side. A server that sent a part of its body, ended its side and reset the connection while an upload was still being written had its part passed on as a whole response. Now such a response is whole only if the server's host has got the whole request and the connection ended without an error; until then the rest of the request is written. A reset behind the end of the input shows only in SO_ERROR, so that is read too.

The writer of a connection that is gone drops what is left. It went on handing pieces to the transport, and asyncio logged a warning for each.

--- a/laburnumlatch/core/piecewriter.py
+++ b/laburnumlatch/core/piecewriter.py
@@ -29,12 +29,18 @@
         self._views = collections.deque()
         self._size = 0
         self._is_paused = False
+        self._is_closed = False
         self._next_pass = None
 
     def __len__(self):
         """Return the number of bytes that the transport has not got yet."""
         return self._size
 
+    @property
+    def is_closed(self):
+        """Whether all further bytes are dropped."""
+        return self._is_closed
+
     @property
     def unsent_bytes(self):
         """Bytes that have not left the process."""
@@ -42,6 +48,8 @@
 
     def write(self, *parts):
         """Write bytes-like objects, which must not change any more."""
+        if self._is_closed:
+            return
         for part in parts:
             if part:
                 self._views.append(memoryview(part))
@@ -59,8 +67,12 @@
         if self._views and self._next_pass is None:
             self._run_pass()
 
-    def clear(self):
-        """Drop what was not handed over."""
+    def close(self):
+        """Drop what was not handed over, and all later bytes.
+
+        The connection is gone, or about to be.
+        """
+        self._is_closed = True
         self._views.clear()
         self._size = 0
 
--- a/laburnumlatch/core/sockets.py
+++ b/laburnumlatch/core/sockets.py
@@ -22,6 +22,15 @@
         )
 
 
+def has_failed(transport):
+    """Return whether the connection was reset, and clear that.
+
+    A reset behind the end of the input does not show when reading.
+    """
+    opened = transport.get_extra_info('socket')
+    return bool(opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 def queued_bytes(transport):
     """Return the bytes in the kernel that the other side has not got yet.
 
--- a/laburnumlatch/platform/calleroutput.py
+++ b/laburnumlatch/platform/calleroutput.py
@@ -58,7 +58,9 @@
         self._writer.resume()
 
     def write(self, *parts):
-        """Write bytes-like objects in order."""
+        """Write bytes-like objects in order, unless the connection is lost."""
+        if self._writer.is_closed:
+            return
         for part in parts:
             self._count_buffered(len(part))
         self._writer.write(*parts)
@@ -73,7 +75,7 @@
     def clear(self):
         """Drop what was not handed over: the connection is lost."""
         self._count_buffered(-len(self._writer))
-        self._writer.clear()
+        self._writer.close()
 
     def _drained(self):
         if self._is_last_written:
--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -5,7 +5,7 @@
 from laburnumlatch.core import bodybuffer
 from laburnumlatch.core import clock
 from laburnumlatch.core import logs
-from laburnumlatch.core import piecewriter
+from laburnumlatch.platform import requestoutput
 from laburnumlatch.platform import responseparser
 from laburnumlatch.platform import servercall
 from laburnumlatch.platform import wire
@@ -36,7 +36,7 @@
         self.rests_since = None
         self._pool = pool
         self._transport = None
-        self._writer = None
+        self._output = None
         self._parser = responseparser.ResponseParser(self)
         self._call = None
         self._group = ''
@@ -55,15 +55,15 @@
     def connection_made(self, transport):
         """Keep the transport; called by asyncio."""
         self._transport = transport
-        self._writer = piecewriter.PieceWriter(transport)
+        self._output = requestoutput.RequestOutput(transport)
 
     def pause_writing(self):
         """Write no more of the request for now; called by asyncio."""
-        self._writer.pause()
+        self._output.pause()
 
     def resume_writing(self):
         """Go on writing the request; called by asyncio."""
-        self._writer.resume()
+        self._output.resume()
 
     def start(self, call):
         """Send a `ServerCall`; the previous one has ended."""
@@ -74,7 +74,7 @@
         self._calls_started += 1
         self._has_received = False
         self._begin_response()
-        self._writer.write(call.head, call.body)
+        self._output.write(call.head, call.body)
 
     def can_carry(self, call, now):
         """Return whether a resting connection may carry a call now."""
@@ -101,13 +101,27 @@
             self._close_for_stray_bytes()
 
     def eof_received(self):
-        """Note a regular end; asyncio then closes the connection."""
+        """Note a regular end; asyncio then closes the connection.
+
+        If the response may end so, the rest of the request is written first:
+        the server may yet reset the connection instead of reading it.
+        """
         self._has_ended = True
+        if not _may_end_here(self._head) or self._output.is_written:
+            return False
+        self._output.close_when_written(lambda: self._fail(CLOSED))
+        return True
+
+    def connection_lost(self, error):
+        """End the call; a body without a length may end so.
 
-    def connection_lost(self, _error):
-        """End the call; a body without a length may end so."""
-        head = self._head
-        if self._has_ended and head is not None and not head.has_length:
+        It is whole only if the server has got the whole request and the
+        connection has ended without an error.
+        """
+        may_end = self._has_ended and _may_end_here(self._head)
+        is_whole = may_end and self._output.has_ended_well(error)
+        self._output.drop()
+        if is_whole:
             self._complete()
         else:
             self._fail(CLOSED)
@@ -116,9 +130,8 @@
     def close(self):
         """Close the connection at once and report nothing."""
         self._call = None
-        self._writer.clear()
         self._begin_response()
-        self._transport.abort()
+        self._output.abort()
 
     def head_received(self, head):
         """Check whose response it is."""
@@ -169,7 +182,7 @@
                 self._keep_ms = _keep_ms(head)
                 self._pool.keep(self)
             else:
-                self._transport.abort()
+                self._output.abort()
 
     @property
     def _is_reusable(self):
@@ -178,8 +191,8 @@
         if call.keeps_after_success and self._head.status != STATUS_OK:
             return False
         # The rest of a request that is not sent would be due before the next.
-        is_sent = not self._writer.unsent_bytes
-        return call.keeps_connection and self._head.keeps_alive and is_sent
+        may_keep = call.keeps_connection and self._head.keeps_alive
+        return may_keep and self._output.is_sent
 
     def _complete(self):
         call = self._call
@@ -241,6 +254,11 @@
         self._transport.resume_reading()
 
 
+def _may_end_here(head):
+    """Return whether a response, None if there is none, has no length."""
+    return head is not None and not head.has_length
+
+
 def _keep_ms(head):
     """Return how long a connection may rest behind a response, in ms."""
     for parameter in head.get('Keep-Alive', '').lower().split(','):
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import socket
 
 import attrs
 import pytest
@@ -21,6 +22,8 @@
 # far below it, including what the connection itself buffers.
 MEMORY_BYTES = 40 * 2**20
 MAX_WRITTEN_BYTES = 20 * 2**20
+SHORT_WAIT_S = 0.1
+RECEIVE_BYTES = 32_768
 ENDLESS_BYTES = 64 * 2**20
 LARGE_BYTES = 8 * 2**20
 
@@ -51,9 +54,18 @@
                 writer.write(RESPONSE.format(request_id, body).encode())
 
 
-async def send_request(client, events, server, request_id, fresh=False):
+async def send_request(
+    client,
+    events,
+    server,
+    request_id,
+    fresh=False,
+    body=b'',
+    time_left_ms=1000,
+):
     """Send a request; return the event that reports its end."""
-    head = messages.Head('GET', '/x', 'h.example', (), request_id)
+    method = 'POST' if body else 'GET'
+    head = messages.Head(method, '/x', 'h.example', (), request_id)
     client.carry_out(
         messages.Send(
             number=1,
@@ -61,8 +73,8 @@
             address=server.address,
             server_id='i',
             head=head,
-            body=b'',
-            time_left_ms=1000,
+            body=body,
+            time_left_ms=time_left_ms,
             fresh_connection=fresh,
         )
     )
@@ -208,6 +220,94 @@
         await client.stop()
 
 
+class HalfReadServer:
+    """Reads a part of a request, sends `response` and ends its side.
+
+    Then it resets the connection, or reads the rest of the request if
+    `reads_on` is set.
+    """
+
+    def __init__(self, response, reads_on):
+        self.address = addresses.free()
+        self._response = response
+        self._reads_on = reads_on
+
+    async def start(self):
+        ip_text, port = self.address.split(':')
+        server = await asyncio.start_server(self._serve, ip_text, int(port))
+        # Accepted connections inherit the option.
+        for listening in server.sockets:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES
+            )
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.transport.pause_reading()
+        writer.write(self._response)
+        writer.write_eof()
+        await asyncio.sleep(SHORT_WAIT_S)
+        if self._reads_on:
+            writer.transport.resume_reading()
+            while await reader.read(LARGE_BYTES):
+                await asyncio.sleep(0)
+        writer.transport.abort()
+
+
+async def event_for_upload(size, response, reads_on=False):
+    """Return the event for an upload whose server responds early."""
+    server = HalfReadServer(response, reads_on)
+    await server.start()
+    events = asyncio.Queue()
+    client = create_client(events.put_nowait)
+    event = await send_request(
+        client, events, server, 'r1', body=b'x' * size, time_left_ms=20_000
+    )
+    await client.stop()
+    return event
+
+
+class TestEarlyEnds:
+    """Responses that end while the request is still being written."""
+
+    @pytest.mark.parametrize('size', [200_000, 6_000_000, 40_000_000])
+    @pytest.mark.parametrize('field', [b'', b'Connection: close\r\n'])
+    async def test_reset_behind_the_end_makes_no_response(self, field, size):
+        """Guards against passing on a part of a body as a whole one.
+
+        The body has no length. The server sends some of it, ends its side and
+        then resets the connection.
+        """
+        event = await event_for_upload(size, sealed(b'%s\r\npart' % field))
+        assert isinstance(event, messages.ExchangeFailed)
+        assert event.phase == messages.Phase.SENT
+
+    async def test_rest_of_the_request_may_follow_the_end(self):
+        """Guards against failing a server that reads the request to its end."""
+        event = await event_for_upload(
+            6_000_000, sealed(b'\r\nwhole'), reads_on=True
+        )
+        assert event.answer.body == b'whole'
+
+    async def test_early_response_with_a_length_is_valid(self):
+        """Guards against dropping a whole response for what follows it."""
+        response = sealed(b'Content-Length: 5\r\n\r\nwhole')
+        event = await event_for_upload(6_000_000, response)
+        assert event.answer.body == b'whole'
+
+    async def test_nothing_is_written_to_a_closed_connection(self, caplog):
+        """Guards against a warning of asyncio for each further piece.
+
+        The connection closes behind the response, with most of the request
+        unsent.
+        """
+        response = sealed(b'Content-Length: 5\r\n\r\nwhole')
+        await event_for_upload(40_000_000, response)
+        await asyncio.sleep(SHORT_WAIT_S)
+        parts = {record.name for record in caplog.records}
+        assert 'asyncio' not in parts
+
+
 class TestStop:
     """Messages to a client that was stopped."""
 
