Take only statuses from 200 to 599 for responses, from 100 for interim ones

Statuses below 100 were skipped as interim responses, so that the next response on the connection was taken for the request's, and those above 599 were passed on to callers. Both are invalid responses now: the request may have run. An agent checks this also in what another one passes on, which may be of an earlier build.

--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -14,6 +14,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import peersilence
+from laburnumlatch.mesh import statuses
 
 # Covers the TCP connection and the first frame from the other agent.
 CONNECT_TIMEOUT_MS = 500
@@ -277,8 +278,22 @@
 
 
 def _to_event(message):
-    """Return the message to the systems for a received response."""
+    """Return the message to the systems for a received response.
+
+    An agent of an earlier build may pass on an invalid response of its server.
+    """
     if isinstance(message, peermsg.Answered):
+        status = message.answer.status
+        if not statuses.is_final(status):
+            return messages.ExchangeFailed(
+                number=message.number,
+                exchange=message.exchange,
+                phase=messages.Phase.REFUSED,
+                reason=messages.Reason.BROKEN,
+                verdict=messages.Verdict.UNKNOWN,
+                wait_ms=message.wait_ms,
+                detail=f'status {status}',
+            )
         return messages.ExchangeEnded(
             message.number,
             message.exchange,
--- a/laburnumlatch/platform/responseparser.py
+++ b/laburnumlatch/platform/responseparser.py
@@ -9,6 +9,7 @@
 import httptools
 
 from laburnumlatch.core import errors
+from laburnumlatch.mesh import statuses
 from laburnumlatch.platform import bodyprogress
 from laburnumlatch.platform import fields as fields_module
 
@@ -16,6 +17,7 @@
 # bytes of a body, is no response.
 MAX_HEAD_BYTES = 65_536
 PIECE_BYTES = 65_536
+MIN_INTERIM_STATUS = 100
 MAX_INTERIM_STATUS = 199
 # Statuses of responses that have no body, whatever length they announce.
 BODILESS_STATUSES = frozenset((204, 304))
@@ -125,9 +127,12 @@
         self._is_in_head = False
         parser = self._parser
         status = parser.get_status_code()
-        self._is_interim = status <= MAX_INTERIM_STATUS
+        self._is_interim = MIN_INTERIM_STATUS <= status <= MAX_INTERIM_STATUS
         if self._is_interim:
             return
+        if not statuses.is_final(status):
+            self._problem = f'status {status:03}'
+            return
         fields = tuple(self._fields)
         encoding = fields_module.get(fields, 'Transfer-Encoding')
         length = fields_module.get(fields, 'Content-Length')
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -308,6 +308,28 @@
         assert 'asyncio' not in parts
 
 
+class TestStatuses:
+    """Status codes that belong to no response."""
+
+    @pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+    @pytest.mark.parametrize('has_final', [False, True])
+    async def test_invalid_status_is_no_response(self, status, has_final):
+        """Guards against skipping or passing on what is no response."""
+        response = b'HTTP/1.1 %s Odd\r\nContent-Length: 0\r\n\r\n' % status
+        if has_final:
+            response += sealed(b'Content-Length: 1\r\n\r\na')
+        event = await event_for(response)
+        assert isinstance(event, messages.ExchangeFailed)
+        assert event.phase == messages.Phase.SENT
+
+    @pytest.mark.parametrize('status', [b'100', b'102', b'199'])
+    async def test_interim_response_is_skipped(self, status):
+        """Guards against taking an interim response for the final one."""
+        final = sealed(b'Content-Length: 1\r\n\r\na')
+        event = await event_for(b'HTTP/1.1 %s Odd\r\n\r\n%s' % (status, final))
+        assert event.answer.body == b'a'
+
+
 class TestStop:
     """Messages to a client that was stopped."""
 
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -4,6 +4,8 @@
 import itertools
 from unittest import mock
 
+import pytest
+
 from laburnumlatch.core import bodymemory
 from laburnumlatch.core import clock
 from laburnumlatch.core import wire
@@ -108,6 +110,22 @@
         assert ended == messages.ExchangeEnded(5, 1, answer, 12, 34, 56)
         await agents.stop()
 
+    @pytest.mark.parametrize('status', [0, 100, 199, 600])
+    async def test_invalid_status_is_no_response(self, status):
+        """Guards against passing on what an earlier build takes for one."""
+        agents = AgentPair()
+        await agents.start(17480)
+        agents.send(forward(5))
+        arrived = await agents.wait_for('b', messages.ForwardArrived)
+        answer = messages.Answer(status, (), b'')
+        agents.links['b'].carry_out(
+            messages.ReplyAnswer(arrived.number, answer, 12, 34, 56),
+        )
+        failed = await agents.wait_for('a', messages.ExchangeFailed)
+        assert failed.verdict == messages.Verdict.UNKNOWN
+        assert failed.reason == messages.Reason.BROKEN
+        await agents.stop()
+
     async def test_lost_connection_fails_sent_requests(self):
         """Guards against requests that stay open after a lost connection.
 
