--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -42,8 +42,8 @@
       them, with the time at which they are answered at the latest.
     - `split_positions`: the next position in the sequence of a split route,
       from 0 to 1, by the name of the route.
-    - `region_bindings`: `rows.RegionBinding` by request ID, for nested calls
-      of the local backend server; `region_binding_ends`: those IDs by the time
+    - `region_bindings`: `regions.Binding` by request ID, for nested calls of
+      the local backend server; `region_binding_ends`: those IDs by the time
       at which they are dropped.
     - `work_times`, `throttles`, `retry_windows`: what is learned about
       routes and services from finished requests.
--- a/laburnumlatch/mesh/regions.py
+++ b/laburnumlatch/mesh/regions.py
@@ -6,13 +6,21 @@
 makes it. A binding is a set of region names, or None if there is none.
 """
 
-from laburnumlatch.mesh import rows
+import attrs
 
 # A backend server may make nested calls for a request that has ended here:
 # its caller has left, or its deadline has passed.
 RETENTION_MS = 30_000
 
 
+@attrs.define(frozen=True)
+class Binding:
+    """Regions that bind the nested calls of a request, `until` a time in ms."""
+
+    regions: frozenset[str]
+    until: int
+
+
 def binding_of_call(agent, route, request_id):
     """Return the binding of a request that arrived from its caller.
 
@@ -80,6 +88,6 @@
         return
     until = max(now, request.deadline) + RETENTION_MS
     agent.region_bindings.put(
-        request.request_id, rows.RegionBinding(request.regions, until)
+        request.request_id, Binding(request.regions, until)
     )
     agent.region_binding_ends.push(until, request.request_id)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -249,14 +249,6 @@
     open_numbers: list[int] = attrs.Factory(list)
 
 
-@attrs.define(frozen=True)
-class RegionBinding:
-    """Regions that bind the nested calls of a request, `until` a time in ms."""
-
-    regions: frozenset[str]
-    until: int
-
-
 @attrs.define
 class Request:
     """One request in this agent, from its arrival to its outcome.
