--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -42,7 +42,11 @@
       server that have left; `named_departures`: `rows.NamedDeparture` by
       server ID; `departure_calls`: calls that wait until `departure_log` has
       them, with the time at which they are answered at the latest.
-    - `split_credits`: the state of the weighted round robin, by route.
+    - `split_positions`: the next position in the sequence of a split route,
+      from 0 to 1, by the name of the route.
+    - `region_bindings`: `regions.Binding` by request ID, for nested calls of
+      the local backend server; `region_binding_ends`: those IDs by the time
+      at which they are dropped.
     - `work_times`, `reported_work_times`, `throttles`, `retry_windows`: what
       is learned about routes and services from finished requests; the second
       has the work times that other hosts report.
@@ -93,7 +97,9 @@
     named_departures: tables.Table = attrs.Factory(tables.Table)
     departure_calls: tables.Table = attrs.Factory(tables.Table)
     departure_log: rows.DepartureLog = attrs.Factory(rows.DepartureLog)
-    split_credits: tables.Table = attrs.Factory(tables.Table)
+    split_positions: tables.Table = attrs.Factory(tables.Table)
+    region_bindings: tables.Table = attrs.Factory(tables.Table)
+    region_binding_ends: tables.DueQueue = attrs.Factory(tables.DueQueue)
     work_times: tables.Table = attrs.Factory(tables.Table)
     reported_work_times: tables.Table = attrs.Factory(tables.Table)
     throttles: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -12,10 +12,12 @@
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import pipelining
+from laburnumlatch.mesh import regions
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import splitting
 
 # For callers that send no timeout.
 DEFAULT_TIMEOUT_MS = 30_000
@@ -84,6 +86,7 @@
         kind=request.kind,
         priority=request.priority,
         left_ms=request.deadline - now,
+        regions=regions.encode(request.regions),
         connection=request.connection or None,
         behind=pipelining.open_count(agent, request.connection),
     )
@@ -126,7 +129,7 @@
         number=arrived.number,
         head=arrived.head,
         body=arrived.body,
-        service=_choose_service(agent, route),
+        service=splitting.choose_service(agent, route),
         kind=route.kind,
         priority=route.priority,
         rank=route.priority,
@@ -139,6 +142,7 @@
         origin_target_end=read_at + target_ms,
         route=route.name,
         connection=arrived.connection,
+        regions=regions.binding_of_call(agent, route, arrived.head.request_id),
     )
 
 
@@ -157,27 +161,6 @@
     return None
 
 
-def _choose_service(agent, route):
-    """Choose a service of the route by weight (smooth round robin)."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    credits_key = (route.name, route.shares)
-    credit = agent.split_credits.get(credits_key)
-    if credit is None:
-        start = agent.rng.random()
-        credit = agent.split_credits.put(
-            credits_key,
-            dict.fromkeys((share.service for share in route.shares), start),
-        )
-    total = 0
-    for share in route.shares:
-        credit[share.service] += share.weight
-        total += share.weight
-    chosen = max(credit, key=credit.get)
-    credit[chosen] -= total
-    return chosen
-
-
 def _request_of_agent(forwarded, now):
     forward = forwarded.forward
     read_at = now if forwarded.read_at is None else forwarded.read_at
@@ -207,6 +190,7 @@
         route=forward.route,
         plan_version=forward.plan_version,
         is_nested=forward.is_nested,
+        regions=regions.binding_of_forward(forward),
     )
 
 
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -286,6 +286,8 @@
     `origin_target_end` the end of its target time; for other requests they
     are their own.
 
+    `regions` are those whose hosts the request may reach, None if all.
+
     `later_finished` counts requests of the route that were started later but
     finished first; a retry counts as `silence.MIN_LATER_FINISHED` of them.
     `decisions` have not been logged yet; once `is_logged_immediately` is set,
@@ -323,6 +325,7 @@
     rank: int = 0
     origin_deadline: int = 0
     origin_target_end: int = 0
+    regions: frozenset[str] | None = None
     later_finished: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_immediately: bool = False
