Refuse at once what more urgent requests displace, and keep a floor for each class

Cause: a queue ordered by priority refused nothing for an urgent request that joined it; less urgent ones waited until it was too late to come back.

Change: once a tick, after a request has joined, one pass over the queue finds those that can no longer start within their bound. Of one rank, the longest is refused in place of a shorter one. Nested calls and the most urgent rank are left. While less urgent requests wait, the share start_floor (0.05) of the work goes to the class that has waited longest.

--- a/laburnumlatch/experiments/overloadloads.py
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -5,6 +5,8 @@
 requests that run at another service.
 """
 
+import types
+
 import attrs
 
 from laburnumlatch.experiments import fleetbackend
@@ -45,19 +47,24 @@
     _route('asset', _READS, '/asset/', _SAFE, (208, 623), 1),
 )
 CONFIGURATION = attrs.evolve(fleetconfig.CONFIGURATION, routes=_ROUTES)
-_BY_NAME = {route.name: route for route in _ROUTES}
-WORK_MS = {
+_BY_NAME = types.MappingProxyType({route.name: route for route in _ROUTES})
+WORK_MS = types.MappingProxyType({
     '/': 290,
     '/history/': 550,
     '/status/': 220,
     '/fault/': 180,
     '/asset/': 55,
-}
+})
 SLOTS = 3
 # Requests in each step of `fleetload`, by route. Six hosts run 0.33 reads.
-_BUSY = {'dispatch': 0.3, 'history': 0.36}
-_MODERATE = {'dispatch': 0.3, 'history': 0.3}
-_MIXED = {'dispatch': 0.3, 'history': 0.3, 'status': 0.3, 'fault': 0.15}
+_BUSY = types.MappingProxyType({'dispatch': 0.3, 'history': 0.36})
+_MODERATE = types.MappingProxyType({'dispatch': 0.3, 'history': 0.3})
+_MIXED = types.MappingProxyType({
+    'dispatch': 0.3,
+    'history': 0.3,
+    'status': 0.3,
+    'fault': 0.15,
+})
 NESTED_SHARE = 0.8
 # Other programs on a machine slow its server down about a fifth of the time.
 SLOW_RATIO = 3
@@ -111,8 +118,8 @@
 
 def deployment(owners=6, host_settings=None, seed=1):
     """Return a fleet of this configuration that has settled."""
-    hosts = [(f'b{n}', _READS, f'd{n % 3}') for n in range(owners)]
-    hosts += [(f'm{n}', _DISPATCH, f'd{n % 3}') for n in range(4)]
+    hosts = _hosts('b', _READS, owners)
+    hosts += _hosts('m', _DISPATCH, 4)
     settings = {host[0]: host_settings or {} for host in hosts}
     fleet = fleetsim.Fleet(
         hosts, seed, configuration=CONFIGURATION, host_settings=settings
@@ -130,19 +137,28 @@
     return fleet
 
 
+def _hosts(prefix, service, count):
+    return [
+        (f'{prefix}{number}', service, f'd{number % 3}')
+        for number in range(count)
+    ]
+
+
 def run(fleet, loads, duration_ms):
     """Send all loads side by side, then wait until all requests have ended."""
     for _ in range(duration_ms // fleetload.STEP_MS):
-        for load in loads:
-            load.send()
-        fleet.run(fleetload.STEP_MS)
-        for load in loads:
-            load.process_outcomes()
-    longest_ms = max(load.patience_ms for load in loads)
+        for sending in loads:
+            sending.send()
+        _step(fleet, loads)
+    longest_ms = max(waiting.patience_ms for waiting in loads)
     for _ in range(longest_ms // fleetload.STEP_MS):
-        fleet.run(fleetload.STEP_MS)
-        for load in loads:
-            load.process_outcomes()
+        _step(fleet, loads)
+
+
+def _step(fleet, loads):
+    fleet.run(fleetload.STEP_MS)
+    for load in loads:
+        load.process_outcomes()
 
 
 def compare(pattern):
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -65,6 +65,7 @@
     `own_row_version` is the version of this host's row in the members table,
     `is_own_row_missing` whether a read did not return that row. `store_epoch`
     is the newest epoch of the store that is known, None before it responds.
+    `floor_credit_ms` is as in `overload.floor`.
     `stopping_since` is when the process was asked to stop, `closing_since`
     when all its work was done or handed over. `holdings_reconciled_with` is
     the plan row's version and the backend server's life that the holdings
@@ -82,6 +83,7 @@
     requests: tables.Table = attrs.Factory(tables.Table)
     queue: queue_module.RequestQueue = attrs.Factory(queue_module.RequestQueue)
     running: tables.Table = attrs.Factory(tables.Table)
+    floor_credit_ms: float = 0
     parked: tables.Table = attrs.Factory(tables.Table)
     held: tables.Table = attrs.Factory(tables.Table)
     connections: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.overload import floor
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -21,11 +22,11 @@
     if not agent.departure_log.is_known:
         # An earlier process may have acknowledged that the server leaves.
         return
-    free_slots = backend.slots - backend.running
-    if free_slots <= 0:
+    if backend.running >= backend.slots:
         return
-    for request in admission.startable_requests(agent, now)[:free_slots]:
-        _start(agent, request, backend, now)
+    startable = admission.startable_requests(agent, now)
+    while startable and backend.running < backend.slots:
+        _start(agent, floor.next_to_start(agent, startable), backend, now)
 
 
 def _start(agent, request, backend, now):
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -30,6 +30,8 @@
     'determined.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
+    'requests_displaced': 'Queued requests refused because more urgent ones '
+    'joined the queue.',
     'exchanges_failed': 'Exchanges that ended without a response.',
     'calls_ended': 'Finished nested calls of requests that run here, by route '
     'of the request; late calls ended after their own target and that of the '
--- /dev/null
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -0,0 +1,111 @@
+"""Finds queued requests that more urgent ones have displaced.
+
+Requests that arrive may go ahead of those in the queue. A request that can no
+longer start within its bound is refused at once, while its caller has time to
+come back, and not when its time is over.
+"""
+
+import heapq
+
+import attrs
+
+from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import forecast
+
+# Without new requests, the forecast is repeated after this time: the server may
+# have become slow.
+INTERVAL_MS = 50
+# A forecast is off by this much and more, as work times vary. Without the
+# margin, requests are refused that would have started in time.
+MARGIN_MS = 50
+
+
+@attrs.define(frozen=True)
+class Displaced:
+    """A queue entry that cannot start within its bound, and its wait in ms."""
+
+    entry: object
+    wait_ms: int
+
+
+def find(agent, now):
+    """Return the `Displaced` entries of the queue, at most once a tick.
+
+    The queue is looked through only after a request has joined it, and every
+    `INTERVAL_MS`.
+    """
+    if not agent.wait_policy.displaces or not len(agent.queue):
+        return []
+    is_due = agent.due('displacement', INTERVAL_MS, now)
+    if not is_due and not agent.queue.has_joined:
+        return []
+    agent.queue.has_joined = False
+    return _Pass(agent, now).run()
+
+
+class _Pass:
+    """One pass over the queue, in starting order.
+
+    Of requests of one rank, the longest is refused in place of a shorter one
+    that would be late: so most of them start in time. Those of the most urgent
+    rank in the queue are not displaced, as nothing joins ahead of them. Nested
+    calls are left in the queue until they cannot end in time, since a refusal
+    wastes the work on their request and the forecast is not certain.
+    """
+
+    def __init__(self, agent, now):
+        """Start with the slots as they are now."""
+        self._agent = agent
+        self._now = now
+        self._lefts_ms = forecast.remaining_ms(agent)
+        self._slowdown = worktimes.slowdown(agent)
+        self._ahead_ms = 0
+        self._rank = None
+        self._longest = []
+        self._displaced = []
+
+    def run(self):
+        """Return the `Displaced` entries."""
+        entries = self._agent.queue.entries()
+        first_rank = entries[0].order[0]
+        for entry in entries:
+            if entry.order[0] != self._rank:
+                self._rank = entry.order[0]
+                self._longest.clear()
+            if entry.request.is_nested or self._rank == first_rank:
+                self._ahead_ms += entry.work_ms
+            elif self._is_late(entry, self._ahead_ms):
+                self._displace_for(entry)
+            else:
+                self._keep(entry)
+        return self._displaced
+
+    def _start_in_ms(self, ahead_ms):
+        return forecast.start_in_ms(self._lefts_ms, ahead_ms * self._slowdown)
+
+    def _is_late(self, entry, ahead_ms):
+        start_ms = self._now + self._start_in_ms(ahead_ms)
+        return start_ms > entry.start_by + MARGIN_MS
+
+    def _keep(self, entry):
+        self._ahead_ms += entry.work_ms
+        heapq.heappush(
+            self._longest, (-entry.work_ms, entry.request.number, entry)
+        )
+
+    def _displace_for(self, entry):
+        """Refuse an entry, or a longer one ahead if that makes it punctual."""
+        longest = self._longest[0][2] if self._longest else entry
+        if longest.work_ms > entry.work_ms and not self._is_late(
+            entry, self._ahead_ms - longest.work_ms
+        ):
+            heapq.heappop(self._longest)
+            self._refuse(longest)
+            self._ahead_ms -= longest.work_ms
+            self._keep(entry)
+        else:
+            self._refuse(entry)
+
+    def _refuse(self, entry):
+        wait_ms = int(self._start_in_ms(self._ahead_ms))
+        self._displaced.append(Displaced(entry, wait_ms))
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -23,10 +23,14 @@
 
 
 class RequestQueue:
-    """Requests by number, sorted by the order in which they start."""
+    """Requests by number, sorted by the order in which they start.
+
+    `has_joined` is set when a request joins, until it is reset from outside.
+    """
 
     def __init__(self):
         """Start empty."""
+        self.has_joined = False
         self._entries = {}
         self._keys = []
         self._works_ms = []
@@ -55,6 +59,7 @@
         self._keys.insert(index, key)
         self._works_ms.insert(index, entry.work_ms)
         self._entries[number] = entry
+        self.has_joined = True
 
     def pop(self, number):
         """Remove and return the entry of a request, or None."""
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -47,7 +47,8 @@
     lease datagrams (UDP) from other agents. `memory_bytes` is the memory
     limit of the whole process, `max_descriptors` that of its open descriptors.
     `regions` has the region of each failure domain. `wait_policy` is a name for
-    `waiting.named`.
+    `waiting.named`. The share `start_floor` of the work goes to the class that
+    has waited longest.
     """
 
     host_id: str
@@ -69,3 +70,4 @@
     max_descriptors: int = 4096
     regions: dict[str, str] = attrs.Factory(dict)
     wait_policy: str = 'value'
+    start_floor: float = 0.05
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -27,7 +27,13 @@
 
 
 class WaitPolicy(abc.ABC):
-    """Orders the queue of a backend server and bounds the wait in it."""
+    """Orders the queue of a backend server and bounds the wait in it.
+
+    `displaces` is whether queued requests are refused as soon as more urgent
+    ones keep them from starting within their bound.
+    """
+
+    displaces = False
 
     @abc.abstractmethod
     def rank(self, request):
@@ -64,6 +70,8 @@
     The wait of other requests is bounded by their target.
     """
 
+    displaces = True
+
     def rank(self, request):
         """Rank urgent requests first, then those whose time ends soonest.
 
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -14,7 +14,10 @@
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import waiting
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import displacement
+from laburnumlatch.mesh.overload import queue
 
 PATTERNS = overloadloads.patterns()
 
@@ -140,6 +143,86 @@
         assert worktimes.expected_work_ms(agent, call) == 40
 
 
+class TestQueue:
+    """Requests of different priority in the queue of one server."""
+
+    def test_displaced_requests_come_back_in_time(self, monkeypatch):
+        """Guards against reads that wait until it is too late.
+
+        Urgent requests join ahead of queued reads. Share of the reads answered
+        in time, seed 1: 0.50 if they stay queued, 0.66 if they are refused at
+        once, so that their callers come back.
+        """
+        shares = []
+        for displaces in (False, True):
+            monkeypatch.setattr(waiting.ValueWaitPolicy, 'displaces', displaces)
+            shares.append(PATTERNS['mixed'].measure({}))
+        before, after = shares
+        assert after['history'].in_time > before['history'].in_time + 0.08
+        assert after['dispatch'].in_time > before['dispatch'].in_time - 0.05
+        assert after['status'].in_time > before['status'].in_time - 0.05
+
+    def test_longest_of_equals_is_displaced(self):
+        """Guards against several short requests refused for one long one.
+
+        Three slots are busy for 100 ms each; an urgent request of 600 ms went
+        ahead of a read of 900 ms and of two reads of 60 ms.
+        """
+        agent = _busy_agent(100)
+        _join(agent, 1, 0, 600, 9999)
+        _join(agent, 2, 2, 900, 400)
+        _join(agent, 3, 2, 60, 400)
+        _join(agent, 4, 2, 60, 400)
+        displaced = displacement.find(agent, agent.now)
+        assert [found.entry.request.number for found in displaced] == [2]
+        assert not displacement.find(agent, agent.now)
+
+    def test_calls_and_most_urgent_are_not_displaced(self):
+        """Guards against work lost for a forecast that is not certain."""
+        agent = _busy_agent(1000)
+        _join(agent, 1, 0, 600, 10)
+        _join(agent, 2, 1, 60, 10, is_nested=True)
+        _join(agent, 3, 1, 60, 10)
+        displaced = displacement.find(agent, agent.now)
+        assert [found.entry.request.number for found in displaced] == [3]
+
+    def test_every_class_gets_a_share(self):
+        """Guards against reads that never run beside urgent overload.
+
+        Status requests alone take three times the capacity. Share of the
+        reads answered, seed 1: 0.25 without a floor, 0.37 with it.
+        """
+        shares = []
+        for floor in (0, 0.05):
+            pattern = overloadloads.OverloadPattern(
+                'starved',
+                {'status': {'per_step': 2.5}, 'history': {'per_step': 0.1}},
+            )
+            shares.append(pattern.measure({'start_floor': floor}))
+        before, after = shares
+        assert after['history'].answered > before['history'].answered + 0.05
+        assert after['status'].in_time > before['status'].in_time - 0.1
+
+
+def _busy_agent(work_ms):
+    """Return an agent whose three slots run requests of `work_ms` each."""
+    agent = overloadloads.deployment().agents['b0']
+    agent.work_times.put(
+        'asset', rows.WorkTime(work_ms, mean_square=work_ms**2)
+    )
+    for slot in range(overloadloads.SLOTS):
+        agent.running.put(slot, _running(slot, agent.now))
+    return agent
+
+
+def _join(agent, number, rank, work_ms, start_in_ms, *, is_nested=False):
+    request = _running(number, agent.now)
+    request.is_nested = is_nested
+    agent.queue.join(
+        queue.Entry(request, (rank, number), work_ms, agent.now + start_in_ms)
+    )
+
+
 def _running(number, now):
     return rows.Request(
         number=number,
