--- a/laburnumlatch/experiments/overloadloads.py
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -5,6 +5,8 @@
 requests that run at another service.
 """
 
+import types
+
 import attrs
 
 from laburnumlatch.experiments import fleetbackend
@@ -45,19 +47,31 @@
     _route('asset', _READS, '/asset/', _SAFE, (208, 623), 1),
 )
 CONFIGURATION = attrs.evolve(fleetconfig.CONFIGURATION, routes=_ROUTES)
-_BY_NAME = {route.name: route for route in _ROUTES}
-WORK_MS = {
+_BY_NAME = types.MappingProxyType({route.name: route for route in _ROUTES})
+WORK_MS = types.MappingProxyType({
     '/': 290,
     '/history/': 550,
     '/status/': 220,
     '/fault/': 180,
     '/asset/': 55,
-}
+})
 SLOTS = 3
 # Requests in each step of `fleetload`, by route. Six hosts run 0.33 reads.
-_BUSY = {'dispatch': 0.3, 'history': 0.36}
-_MODERATE = {'dispatch': 0.3, 'history': 0.3}
-_MIXED = {'dispatch': 0.3, 'history': 0.3, 'status': 0.3, 'fault': 0.15}
+_BUSY = types.MappingProxyType({'dispatch': 0.3, 'history': 0.36})
+_MODERATE = types.MappingProxyType({'dispatch': 0.3, 'history': 0.3})
+_MIXED = types.MappingProxyType({
+    'dispatch': 0.3,
+    'history': 0.3,
+    'status': 0.3,
+    'fault': 0.15,
+})
+# Six hosts run 3.3 asset reads or 1 fault report.
+_ROUTE_BURST = types.MappingProxyType({'asset': 6, 'fault': 0.3})
+_DOMAIN_BURST = types.MappingProxyType({
+    'fault@d0': 2,
+    'fault@d1': 0.2,
+    'fault@d2': 0.2,
+})
 NESTED_SHARE = 0.8
 # Other programs on a machine slow its server down about a fifth of the time.
 SLOW_RATIO = 3
@@ -69,7 +83,8 @@
 class OverloadPattern:
     """A load of several kinds at once, with the settings to compare with.
 
-    `loads` has fields of `fleetload.Load` by the name of the route. `before`
+    `loads` has fields of `fleetload.Load` by the name of the route, followed by
+    `@` and a domain if all callers are there. `before`
     are fields of `settings.Settings` that select the former policy.
     """
 
@@ -111,8 +126,8 @@
 
 def deployment(owners=6, host_settings=None, seed=1):
     """Return a fleet of this configuration that has settled."""
-    hosts = [(f'b{n}', _READS, f'd{n % 3}') for n in range(owners)]
-    hosts += [(f'm{n}', _DISPATCH, f'd{n % 3}') for n in range(4)]
+    hosts = _hosts('b', _READS, owners)
+    hosts += _hosts('m', _DISPATCH, 4)
     settings = {host[0]: host_settings or {} for host in hosts}
     fleet = fleetsim.Fleet(
         hosts, seed, configuration=CONFIGURATION, host_settings=settings
@@ -130,19 +145,28 @@
     return fleet
 
 
+def _hosts(prefix, service, count):
+    return [
+        (f'{prefix}{number}', service, f'd{number % 3}')
+        for number in range(count)
+    ]
+
+
 def run(fleet, loads, duration_ms):
     """Send all loads side by side, then wait until all requests have ended."""
     for _ in range(duration_ms // fleetload.STEP_MS):
-        for load in loads:
-            load.send()
-        fleet.run(fleetload.STEP_MS)
-        for load in loads:
-            load.process_outcomes()
-    longest_ms = max(load.patience_ms for load in loads)
+        for sending in loads:
+            sending.send()
+        _step(fleet, loads)
+    longest_ms = max(waiting.patience_ms for waiting in loads)
     for _ in range(longest_ms // fleetload.STEP_MS):
-        fleet.run(fleetload.STEP_MS)
-        for load in loads:
-            load.process_outcomes()
+        _step(fleet, loads)
+
+
+def _step(fleet, loads):
+    fleet.run(fleetload.STEP_MS)
+    for load in loads:
+        load.process_outcomes()
 
 
 def compare(pattern):
@@ -165,14 +189,24 @@
 
 
 def _load(fleet, name, fields):
-    route = _BY_NAME[name]
+    route_name, _at, domain = name.partition('@')
+    route = _BY_NAME[route_name]
+    hosts = [
+        host_id
+        for host_id, its_domain in sorted(fleet.domains.items())
+        if domain in {'', its_domain}
+    ]
     return fleetload.Load(
-        fleet, route.prefix, patience_ms=route.timeout_ms, **fields
+        fleet,
+        route.prefix,
+        patience_ms=route.timeout_ms,
+        hosts=tuple(hosts),
+        **fields,
     )
 
 
 def _shares(name, load):
-    route = _BY_NAME[name]
+    route = _BY_NAME[name.partition('@')[0]]
     outcomes = [load.fleet.outcomes[number] for number in load.started]
     lost = sum(
         isinstance(outcome, messages.Deliver)
@@ -204,6 +238,10 @@
             'calls-slow-spells', _requests(_MODERATE), has_slow_spells=True
         ),
         OverloadPattern('mixed', _requests(_MIXED, retries=1)),
+        OverloadPattern('burst-of-a-route', _requests(_ROUTE_BURST, retries=1)),
+        OverloadPattern(
+            'burst-of-a-domain', _requests(_DOMAIN_BURST, retries=1)
+        ),
     )
     return {pattern.name: pattern for pattern in all_patterns}
 
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -7,6 +7,7 @@
 import attrs
 
 from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leaving
@@ -16,6 +17,8 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.overload import displacement
+from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import queue
 
@@ -46,6 +49,28 @@
                     forecast.expected_wait_ms(agent)
                 ),
             )
+    for displaced in displacement.find(agent, now):
+        _refuse_displaced(agent, displaced)
+
+
+def _refuse_displaced(agent, displaced):
+    request = displaced.entry.request
+    counting.count(agent, 'requests_displaced', route=request.route)
+    decisions.record(
+        agent,
+        request,
+        'displaced',
+        wait_ms=displaced.wait_ms,
+        waited_ms=agent.now - request.arrived_at,
+        late_in_ms=int(displaced.entry.start_by) - agent.now,
+        queued=len(agent.queue),
+    )
+    requests.refuse(
+        agent,
+        request,
+        messages.Reason.NO_ROOM,
+        agent.wait_policy.retry_after_ms(displaced.wait_ms),
+    )
 
 
 @attrs.define(frozen=True)
@@ -103,7 +128,8 @@
 
 def _place_in_queue(agent, request, now, work_ms):
     """Return the order of a request in the queue, and its expected wait."""
-    order = agent.wait_policy.rank(request)
+    exceeded = fairness.exceeded_shares(agent, request)
+    order = agent.wait_policy.rank(request, exceeded)
     wait_ms = forecast.expected_wait_ms(agent, order)
     if request.is_nested:
         is_late = now + wait_ms + work_ms > request.origin_target_end
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -19,6 +19,7 @@
 from laburnumlatch.mesh import settings as settings_module
 from laburnumlatch.mesh import storeretry
 from laburnumlatch.mesh import waiting
+from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import queue as queue_module
 
 
@@ -34,6 +35,7 @@
       one, `parked` those that wait
       until a host is chosen for them again, `held` those that wait for
       earlier requests of their connection.
+    - `usages`: work started in the last seconds, by route and domain.
     - `connections`: `rows.CallerConnection` by number, while it has open
       requests.
     - `deadlines`, `placements`: numbers of requests by the time at which
@@ -71,6 +73,7 @@
     `own_row_version` is the version of this host's row in the members table,
     `is_own_row_missing` whether a read did not return that row. `store_epoch`
     is the newest epoch of the store that is known, None before it responds.
+    `floor_credit_ms` is as in `overload.floor`.
     `stopping_since` is when the process was asked to stop, `closing_since`
     when all its work was done or handed over. `holdings_reconciled_with` is
     the plan row's version and the backend server's life that the holdings
@@ -88,6 +91,8 @@
     requests: tables.Table = attrs.Factory(tables.Table)
     queue: queue_module.RequestQueue = attrs.Factory(queue_module.RequestQueue)
     running: tables.Table = attrs.Factory(tables.Table)
+    usages: fairness.Usages = attrs.Factory(fairness.Usages)
+    floor_credit_ms: float = 0
     parked: tables.Table = attrs.Factory(tables.Table)
     held: tables.Table = attrs.Factory(tables.Table)
     connections: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -8,6 +8,8 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.overload import fairness
+from laburnumlatch.mesh.overload import floor
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -23,11 +25,11 @@
     if not agent.departure_log.is_known:
         # An earlier process may have acknowledged that the server leaves.
         return
-    free_slots = backend.slots - backend.running
-    if free_slots <= 0:
+    if backend.running >= backend.slots:
         return
-    for request in admission.startable_requests(agent, now)[:free_slots]:
-        _start(agent, request, backend, now)
+    startable = admission.startable_requests(agent, now)
+    while startable and backend.running < backend.slots:
+        _start(agent, floor.next_to_start(agent, startable), backend, now)
 
 
 def _may_send(agent, now):
@@ -37,7 +39,8 @@
 
 
 def _start(agent, request, backend, now):
-    agent.queue.pop(request.number)
+    entry = agent.queue.pop(request.number)
+    fairness.record_start(agent, request, entry.work_ms)
     request.state = rows.RequestState.RUNNING
     agent.running.put(request.number, request)
     backend.running += 1
