Pace what a cold backend server is sent

A server that has just started bears a few requests a second and crashes under the usual rate. Its agent now keeps the cold time of the announcements, clamped to a multiple of the configured one, and sends it requests, retries included, by a token bucket of the rate that the service configures. The wait for the pace is part of the expected wait, so that admission refuses what does not fit. Backend.sent_at is replaced by the state of the bucket: it needs no list of times, and empties for a restarted agent.

--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -27,7 +27,8 @@
     on a kept connection find it closed.
 
     A grant arrives after `grant_delay_ms`. While `is_cut` the server lives on,
-    but its agent cannot reach it; what is in transit still arrives.
+    but its agent cannot reach it; what is in transit still arrives. Until
+    `cold_until` it announces that it is cold.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -56,6 +57,7 @@
         self.clock_ratio = SLOW_CLOCK_RATIO
         self.loses_grant_answers = False
         self.grant_delay_ms = 0
+        self.cold_until = 0
         self.started = []
         self.handovers = []
 
@@ -64,8 +66,9 @@
         """Whether the agent on the same host can reach the server."""
         return self.is_up and not self.is_cut
 
-    def restart(self):
-        """Start a new life without any grants."""
+    def restart(self, cold_ms=0):
+        """Start a new life without any grants, which is cold for a time."""
+        self.cold_until = self.fleet.now + cold_ms
         self.is_up = True
         self.life = ranges.Life(f's-{self.host_id}', self.fleet.time_of_day)
         self.ledger = grantledger.Ledger()
@@ -84,6 +87,7 @@
             slots=SLOTS,
             is_draining=self.is_draining,
             sequence=self.sequence,
+            cold_ms=max(0, self.cold_until - self.fleet.now),
         )
 
     def held_ranges(self):
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.pacing import pace
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -22,10 +23,12 @@
         # An earlier process may have acknowledged that the server leaves.
         return
     free_slots = backend.slots - backend.running
-    if free_slots <= 0:
-        return
-    for request in admission.startable_requests(agent, now)[:free_slots]:
-        _start(agent, request, backend, now)
+    free_starts = min(free_slots, pace.free_starts(agent, now))
+    if free_starts > 0:
+        for request in admission.startable_requests(agent, now)[:free_starts]:
+            _start(agent, request, backend, now)
+    if len(agent.queue):
+        pace.wake_at_next_start(agent, now)
 
 
 def _start(agent, request, backend, now):
@@ -48,11 +51,13 @@
     """Return whether a running request may be sent once more, and count it.
 
     By now this host may have to release the key, or the backend server may be
-    leaving.
+    leaving or cold.
     """
     is_closed = admission.is_closed(agent.backend, now)
     if is_closed or not admission.may_start(agent, request, now):
         return False
+    if not pace.free_starts(agent, now):
+        return False
     if not retrybudget.spend_retry(agent, request.service, now):
         return False
     counting.count(agent, 'requests_repeated', service=request.service)
@@ -68,6 +73,7 @@
     backend = agent.backend
     request.exchange += 1
     request.started_at = now
+    pace.count_send(agent, now)
     agent.outbox.post(
         messages.Send(
             number=request.number,
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import coldness
 
 METRIC_PREFIX = 'laburnumlatch'
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
@@ -40,6 +41,8 @@
     'keys_received': 'Keys granted to this host for the first time.',
     'keys_released': 'Keys released by the backend server.',
     'announcements': 'Announcements of the backend server by outcome.',
+    'cold_changes': 'How often the backend server became cold or warm.',
+    'paced_starts': 'Requests sent to the backend server while it was cold.',
 })
 
 
@@ -164,6 +167,11 @@
         'Whether the backend server responds.',
         int(backend is not None and backend.failed_since is None),
     )
+    yield (
+        'backend_cold_seconds',
+        'Time until the backend server is warm.',
+        coldness.remaining_ms(agent, agent.now) / clock.MS_PER_S,
+    )
 
 
 def _state_gauges(agent):
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import pace
 
 # After this many consecutive exchanges without a response the backend server
 # counts as down. It is tried again after `BACKEND_RETRY_MS`, once it has
@@ -118,6 +119,8 @@
         verdict=failure.verdict,
         detail=failure.detail or None,
     )
+    if is_local and _is_unsent(failure):
+        pace.count_unsent(agent, now)
     if is_local and _send_again_if_stale(agent, request, failure, now):
         return
     if _may_have_reached_server(failure):
@@ -152,6 +155,12 @@
     return True
 
 
+def _is_unsent(failure):
+    """Return whether the own server did not get the request as its own."""
+    is_misdirected = failure.reason == messages.Reason.NOT_OWNER
+    return is_misdirected or failure.phase == messages.Phase.UNSENT
+
+
 def _may_have_reached_server(failure):
     """Return whether a backend server may have received the request."""
     if failure.reason == messages.Reason.SHED:
--- a/laburnumlatch/mesh/ownserver.py
+++ b/laburnumlatch/mesh/ownserver.py
@@ -10,6 +10,7 @@
 from laburnumlatch.mesh import departures
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.pacing import coldness
 
 # The agent stops sending this long before the drain time ends, so that requests
 # in transit to a leaving backend server reach it in time.
@@ -136,6 +137,7 @@
     backend.sequence = announcement.sequence
     backend.slots = announcement.slots
     backend.last_announced = now
+    coldness.update(agent, announcement.cold_ms, now)
     return True
 
 
@@ -171,12 +173,14 @@
         joined_at=now,
         running=running,
         last_announced=now,
+        tokens_at=now,
     )
     _log.info(
         'backend-announced',
         server=announcement.life.server_id,
         born=announcement.life.born,
     )
+    coldness.update(agent, announcement.cold_ms, now)
     named = agent.named_departures.get(announcement.life.server_id)
     if named is not None and announcement.life.born <= named.announced_at:
         # This life left before its first announcement arrived here.
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -1,6 +1,5 @@
 """Row classes of the tables that one agent keeps in memory."""
 
-import collections
 import enum
 
 import attrs
@@ -85,7 +84,7 @@
     `failure_ratio` is the moving average share of responses that are server
     errors. Until `avoid_until` the host is used only if no other is left.
     `failures` counts consecutive attempts that did not reach it, the last of
-    them at `failed_at`.
+    them at `failed_at`. Until `cold_until` its backend server is cold.
     """
 
     record: HostRecord
@@ -99,6 +98,7 @@
     avoid_until: int = 0
     failures: int = 0
     failed_at: int = 0
+    cold_until: int = 0
 
     @property
     def host_id(self):
@@ -145,9 +145,9 @@
     exchanges without a response. `failed_since` is when the server was found
     to be down, None if it is not. From `resume_at` on it is tried again if it
     has announced itself after `failed_since`. `last_response` is when its
-    last response came. Until `cold_until` the server is cold, 0 if it is not.
-    `sent_at` has the times at which requests were sent to it in the last
-    second. `load` is what it reported last.
+    last response came. Until `cold_until` the server is cold. `start_tokens` is
+    what `pacing.pace` had left at `tokens_at`: none at first, as an earlier
+    process may just have sent requests. `load` is what it reported last.
     """
 
     life: ranges.Life
@@ -163,7 +163,8 @@
     last_announced: int = 0
     last_response: int = 0
     cold_until: int = 0
-    sent_at: collections.deque[int] = attrs.Factory(collections.deque)
+    start_tokens: float = 0
+    tokens_at: int = 0
     load: ServerLoad = attrs.Factory(ServerLoad)
 
 
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -5,6 +5,7 @@
 """
 
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.pacing import pace
 
 DEFAULT_WORK_MS = 150.0
 MIN_SAMPLE_WEIGHT = 0.1
@@ -83,8 +84,9 @@
 def expected_wait_ms(agent, new_request=None):
     """Return how long a new request would wait in the queue here, in ms.
 
-    Only queued requests that start before `new_request` count; all count if
-    it is None.
+    It waits for a slot and, while the server is cold, for the pace. Only
+    queued requests that start before `new_request` count; all count if it is
+    None.
     """
     backend = agent.backend
     if backend is None or not backend.slots:
@@ -95,12 +97,13 @@
         for request in agent.queue
         if new_request is None or rank(request) <= rank(new_request)
     ]
+    pace_ms = pace.wait_ms(agent, len(queued_ms))
     if backend.running < backend.slots and not queued_ms:
-        return 0
+        return pace_ms
     # Running requests are half finished on average.
     running_ms = backend.running * _mean_work_ms(agent) / 2
     ahead_ms = (sum(queued_ms) + running_ms) * slowdown(agent)
-    return int(ahead_ms / backend.slots)
+    return max(pace_ms, int(ahead_ms / backend.slots))
 
 
 def _mean_work_ms(agent):
--- /dev/null
+++ b/tests/test_mesh_cold_servers.py
@@ -0,0 +1,211 @@
+"""Backend servers that are cold: the pace at which they get requests."""
+
+import attrs
+import pytest
+
+from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetsim
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import routes
+from laburnumlatch.mesh.pacing import coldness
+from tests import test_mesh_late_input
+
+COLD_PER_S = 2.35
+COLD_MS = 3000
+SECOND_MS = 1000
+# Far below the bound of the deployment, 11.5: what the server bears in a
+# second and the burst.
+MAX_SENDS = 4
+
+
+def cold_fleet(others=1, cold_per_s=COLD_PER_S):
+    """Return a deployment whose hosts `m0`, `m1`, ... have a cold rate."""
+    services = {
+        name: attrs.evolve(
+            service, cold_per_s=cold_per_s, cold_start_ms=COLD_MS
+        )
+        for name, service in fleetconfig.CONFIGURATION.services.items()
+    }
+    hosts = [('b0', fleetconfig.SERVICE, 'd0')]
+    hosts += [
+        (f'm{number}', fleetconfig.OTHER_SERVICE, 'd0')
+        for number in range(others)
+    ]
+    fleet = fleetsim.Fleet(
+        hosts,
+        configuration=attrs.evolve(
+            fleetconfig.CONFIGURATION, services=services
+        ),
+    )
+    fleet.run(fleetsim.SETTLE_MS)
+    return fleet
+
+
+def restart_server(fleet, host_id='m0', cold_ms=COLD_MS):
+    """Start a new life of a server; return when its agent knows of it."""
+    backend = fleet.backends[host_id]
+    backend.restart(cold_ms)
+    fleet.post(host_id, backend.announce())
+    fleet.run(1)
+
+
+def send_many(fleet, duration_ms):
+    """Forward more requests to `m0` than a cold server bears, one in 10 ms."""
+    for _ in range(duration_ms // 10):
+        number = next(fleet.request_numbers)
+        request = test_mesh_late_input.forward(routes.Kind.SAFE, number)
+        fleet.post('m0', messages.ForwardArrived(number, 'b0', request))
+        fleet.run(10)
+
+
+def most_in_a_second(fleet, host_id='m0', since=0):
+    """Return the most requests that a server got within any second."""
+    times = [at for at, _id in fleet.backends[host_id].started if at >= since]
+    return max(
+        (
+            sum(start <= at < start + SECOND_MS for at in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+class TestPace:
+    """What a server gets within any second while it is cold."""
+
+    def test_new_server(self):
+        """Guards against a crash of a server that has just started.
+
+        It gets what it bears, and no more, until its cold time is over.
+        """
+        fleet = cold_fleet()
+        restart_server(fleet)
+        send_many(fleet, COLD_MS - 100)
+        assert len(fleet.backends['m0'].started) in range(5, 9)
+        assert most_in_a_second(fleet) <= MAX_SENDS
+        send_many(fleet, SECOND_MS)
+        assert most_in_a_second(fleet) > MAX_SENDS
+
+    def test_restarted_agent(self):
+        """Guards against a second burst by an agent that has just started.
+
+        The process before it has sent what the server bears.
+        """
+        fleet = cold_fleet()
+        restart_server(fleet)
+        fleet.run(SECOND_MS)
+        send_many(fleet, 20)
+        fleet.stop('m0')
+        fleet.start('m0')
+        fleet.run(10)
+        fleet.post('m0', fleet.backends['m0'].announce())
+        fleet.run(200)
+        send_many(fleet, SECOND_MS)
+        assert len(fleet.backends['m0'].started) > 2
+        assert most_in_a_second(fleet) <= MAX_SENDS
+
+    def test_server_that_becomes_cold_in_mid_life(self):
+        """Guards against sends on top of those just before the cold time.
+
+        The server then rests for a second, and gets what it bears.
+        """
+        fleet = cold_fleet()
+        backend = fleet.backends['m0']
+        send_many(fleet, SECOND_MS)
+        backend.cold_until = fleet.now + COLD_MS
+        fleet.post('m0', backend.announce())
+        fleet.run(1)
+        since = fleet.now
+        send_many(fleet, SECOND_MS)
+        assert most_in_a_second(fleet, since=since) == 0
+        send_many(fleet, COLD_MS - SECOND_MS - 100)
+        assert 2 <= most_in_a_second(fleet, since=since) <= MAX_SENDS
+
+    def test_retries_count(self):
+        """Guards against retries that are sent beside the pace.
+
+        Kept connections close under each request, which is then sent again.
+        """
+        fleet = cold_fleet()
+        restart_server(fleet)
+        fleet.backends['m0'].stale_connections = 100
+        least = 0
+        for _ in range(100):
+            send_many(fleet, 20)
+            least = min(least, fleet.agents['m0'].backend.start_tokens)
+        assert least >= 0
+
+    def test_misdirected_requests_do_not_count(self):
+        """Guards against a pace that is spent on requests for keys in transit.
+
+        The server responds to them with 421 and does no work.
+        """
+        fleet = cold_fleet()
+        restart_server(fleet)
+        fleet.run(500)
+        send_many(fleet, 10)
+        agent = fleet.agents['m0']
+        (request,) = agent.requests
+        before = agent.backend.start_tokens
+        refused = messages.ExchangeFailed(
+            request.number,
+            request.exchange,
+            messages.Phase.REFUSED,
+            messages.Reason.NOT_OWNER,
+        )
+        fleet.post('m0', refused)
+        fleet.run(1)
+        assert agent.backend.start_tokens >= before + 1
+
+
+class TestWait:
+    """What callers and other agents are told."""
+
+    def test_callers_who_do_not_fit_are_refused_at_once(self):
+        """Guards against callers that wait in vain for a cold server.
+
+        Its queue is empty, but the next start is further away than a status
+        read may wait.
+        """
+        fleet = cold_fleet()
+        restart_server(fleet)
+        numbers = [fleet.call('m0', '/') for _ in range(20)]
+        fleet.run(5)
+        refused = [
+            number
+            for number in numbers
+            if isinstance(fleet.outcomes[number], messages.Refuse)
+        ]
+        assert len(refused) == len(numbers)
+
+    def test_without_a_cold_rate_nothing_changes(self):
+        """Guards against a pace where the configuration states none."""
+        fleet = cold_fleet(cold_per_s=0)
+        restart_server(fleet)
+        numbers = [fleet.call('m0', '/') for _ in range(4)]
+        fleet.run(300)
+        assert all(
+            isinstance(fleet.outcomes[number], messages.Deliver)
+            for number in numbers
+        )
+
+
+class TestColdTime:
+    """Until when an agent takes its server for cold."""
+
+    @pytest.mark.parametrize('said_ms', [10**10, 365 * 86_400_000])
+    def test_cold_time_of_a_year(self, said_ms):
+        """Guards against a server that is paced for ever by one bad figure."""
+        fleet = cold_fleet()
+        restart_server(fleet, cold_ms=said_ms)
+        agent = fleet.agents['m0']
+        left_ms = coldness.remaining_ms(agent, fleet.now)
+        assert left_ms == COLD_MS * coldness.MAX_COLD_RATIO
+
+    def test_newest_announcement_counts(self):
+        """Guards against a pace that outlasts the cold time."""
+        fleet = cold_fleet()
+        restart_server(fleet)
+        fleet.backends['m0'].cold_until = 0
+        fleet.run(fleetconfig.ANNOUNCEMENT_INTERVAL_MS)
+        assert not coldness.remaining_ms(fleet.agents['m0'], fleet.now)
