Avoid hosts with a cold server while warm ones have room

Each agent saw only its own requests, so a host that bears two requests a second got one from each of many senders, and refused nearly all. The responses between agents now say how long the server stays cold (last field, unknown from earlier builds), and a row that shows a new server counts as cold for the configured time. Such a host is chosen once no warm one is left to try. The row gets no field: earlier builds refuse rows with unknown ones.

--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -52,6 +52,7 @@
                 wait_ms=answered.wait_ms,
                 work_ms=answered.work_ms,
                 held_ms=answered.held_ms,
+                cold_ms=answered.cold_ms,
             )
         for refusal in outbox.take(messages.ReplyRefusal):
             self._reply(
@@ -62,6 +63,7 @@
                 verdict=refusal.verdict,
                 retry_after_ms=refusal.retry_after_ms,
                 wait_ms=refusal.wait_ms,
+                cold_ms=refusal.cold_ms,
             )
 
     def fail_forwards_to(self, host_id):
--- a/laburnumlatch/mesh/inbound.py
+++ b/laburnumlatch/mesh/inbound.py
@@ -80,6 +80,7 @@
             reply.wait_ms,
             reply.work_ms,
             reply.held_ms,
+            cold_ms=reply.cold_ms,
         )
         body = reply.answer.body
         if self.peer_reads_parts and len(body) > bodyparts.PART_BYTES:
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.pacing import coldness
 
 TABLE = 'mesh/'
 HOST_PREFIX = 'mesh/host/'
@@ -249,7 +250,10 @@
         ownserver.resume_draining(agent, record, agent.now)
     host = agent.hosts.get(record.host_id)
     if host is None:
-        agent.hosts.put(record.host_id, rows.Host(record, version))
+        host = agent.hosts.put(record.host_id, rows.Host(record, version))
+        # Rows of the first read may be old.
+        if agent.members_updated_at:
+            coldness.expect_cold_start(agent, host, agent.now)
     elif host.version < version:
         if host.record != record:
             _log.info(
@@ -261,6 +265,7 @@
         if host.record.life != record.life:
             host.avoid_until = 0
             host.failures = 0
+            coldness.expect_cold_start(agent, host, agent.now)
         host.record = record
         host.version = version
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -172,7 +172,8 @@
     that it now expects for the route, and `held_ms` how long it had this
     request. They are None if unknown. `waits` is the expected wait there by
     priority, empty if unknown. The local backend server may report its load,
-    `server_load`.
+    `server_load`. `cold_ms` is how long the server of the other host stays
+    cold, None if unknown.
     """
 
     number: int
@@ -183,6 +184,7 @@
     held_ms: int | None = None
     waits: tuple[int, ...] = ()
     server_load: ServerLoadReport | None = None
+    cold_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -192,9 +194,9 @@
     If another agent refused or ended the request, `verdict` and
     `retry_after_ms` are the outcome that it would report to a caller;
     otherwise `verdict` is None. `wait_ms` is the expected wait of a new
-    request in the queue there, None if unknown. `is_stale` says that a kept
-    connection closed before the first byte of a response. `detail` is for log
-    lines.
+    request in the queue there, None if unknown, and `cold_ms` as in
+    `ExchangeEnded`. `is_stale` says that a kept connection closed before the
+    first byte of a response. `detail` is for log lines.
     """
 
     number: int
@@ -207,6 +209,7 @@
     is_stale: bool = False
     detail: str = ''
     waits: tuple[int, ...] = ()
+    cold_ms: int | None = None
 
 
 # Requests: from systems to front ends.
@@ -282,7 +285,8 @@
     `wait_ms` is the expected wait of a new request in the queue here,
     `work_ms` the work time now expected for the route, and `held_ms` the time
     since this request arrived here. `waits` is the expected wait by priority,
-    the most urgent first; empty if it is the same for all.
+    the most urgent first; empty if it is the same for all. `cold_ms` is how
+    long the server here stays cold.
     """
 
     number: int
@@ -291,6 +295,7 @@
     work_ms: int
     held_ms: int
     waits: tuple[int, ...] = ()
+    cold_ms: int = 0
 
 
 @attrs.define(frozen=True)
@@ -298,7 +303,7 @@
     """Report to the agent that forwarded the request why no response comes.
 
     `wait_ms` is the expected wait of a new request in the queue here, `waits`
-    that by priority, as in `ReplyAnswer`.
+    that by priority, and `cold_ms`, as in `ReplyAnswer`.
     """
 
     number: int
@@ -307,6 +312,7 @@
     retry_after_ms: int
     wait_ms: int
     waits: tuple[int, ...] = ()
+    cold_ms: int = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -286,6 +286,7 @@
             message.wait_ms,
             message.work_ms,
             message.held_ms,
+            cold_ms=message.cold_ms,
         )
     return messages.ExchangeFailed(
         number=message.number,
@@ -295,4 +296,5 @@
         verdict=message.verdict,
         retry_after_ms=message.retry_after_ms,
         wait_ms=message.wait_ms,
+        cold_ms=message.cold_ms,
     )
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -78,7 +78,7 @@
         agent.backend.failed_since = None
         agent.backend.last_response = now
     else:
-        _update_wait(agent, request.host_id, ended.wait_ms, now)
+        _update_wait(agent, request.host_id, ended, now)
         if host is not None and ended.work_ms is not None:
             host.work_ms[request.route] = ended.work_ms
         if host is not None and ended.held_ms is not None:
@@ -119,8 +119,8 @@
         verdict=failure.verdict,
         detail=failure.detail or None,
     )
-    if is_local and _is_unsent(failure):
-        pace.count_unsent(agent, now)
+    if is_local:
+        pace.count_failure(agent, failure, now)
     if is_local and _send_again_if_stale(agent, request, failure, now):
         return
     if _may_have_reached_server(failure):
@@ -155,12 +155,6 @@
     return True
 
 
-def _is_unsent(failure):
-    """Return whether the own server did not get the request as its own."""
-    is_misdirected = failure.reason == messages.Reason.NOT_OWNER
-    return is_misdirected or failure.phase == messages.Phase.UNSENT
-
-
 def _may_have_reached_server(failure):
     """Return whether a backend server may have received the request."""
     if failure.reason == messages.Reason.SHED:
@@ -224,7 +218,7 @@
     if failure.verdict is None:
         _back_off(host, request, now)
     else:
-        _update_wait(agent, request.host_id, failure.wait_ms, now)
+        _update_wait(agent, request.host_id, failure, now)
         if failure.reason in {
             messages.Reason.NO_MEMORY,
             messages.Reason.SERVER_DOWN,
@@ -244,12 +238,14 @@
     host.failures += 1
 
 
-def _update_wait(agent, host_id, wait_ms, now):
+def _update_wait(agent, host_id, event, now):
     """Update the wait that a host reported; stop avoiding it if it was lost."""
     host = agent.hosts.get(host_id)
-    if host is not None and wait_ms is not None:
-        host.wait_ms = wait_ms
+    if host is not None and event.wait_ms is not None:
+        host.wait_ms = event.wait_ms
         host.reported_at = now
+        if event.cold_ms is not None:
+            host.cold_until = now + event.cold_ms
         if host.failures:
             host.failures = 0
             host.avoid_until = now
--- a/laburnumlatch/mesh/pacing/pace.py
+++ b/laburnumlatch/mesh/pacing/pace.py
@@ -9,6 +9,7 @@
 
 from laburnumlatch.core import clock
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import messages
 from laburnumlatch.mesh.pacing import coldness
 
 # With one token, what the server could take in a gap between two requests
@@ -65,9 +66,15 @@
     _change_tokens(agent, -1, now)
 
 
-def count_unsent(agent, now):
-    """Count that the server did not get a request, or was not the right one."""
-    if coldness.cold_rate(agent):
+def count_failure(agent, failure, now):
+    """Take a send back if the own server did not get it, or not as its own.
+
+    `failure` is a `messages.ExchangeFailed`. A server does no work for a
+    request that is meant for another one.
+    """
+    is_unsent = failure.phase == messages.Phase.UNSENT
+    is_misdirected = failure.reason == messages.Reason.NOT_OWNER
+    if coldness.cold_rate(agent) and (is_unsent or is_misdirected):
         _change_tokens(agent, 1, now)
 
 
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -169,6 +169,7 @@
                     message.reason,
                     message.retry_after_ms,
                     message.wait_ms,
+                    cold_ms=message.cold_ms,
                 )
             )
 
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -49,7 +49,7 @@
 class Answered:
     """The response to an `Ask`; times as in `messages.ReplyAnswer`.
 
-    `body_bytes` is as in `Ask`.
+    `body_bytes` is as in `Ask`. `cold_ms` is None from an earlier build.
     """
 
     number: int
@@ -59,6 +59,7 @@
     work_ms: int
     held_ms: int
     body_bytes: int = 0
+    cold_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -71,6 +72,7 @@
     reason: messages.Reason
     retry_after_ms: int
     wait_ms: int
+    cold_ms: int | None = None
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.pacing import coldness
 
 # While one request probes a host that could not be reached, others avoid the
 # host for this time: longer than connecting to it may take.
@@ -125,7 +126,10 @@
     ]
     if not untried:
         return None
-    return agent.host_policy.choose(agent, request, untried)
+    warm = [
+        host for host in untried if not coldness.is_host_cold(agent, host, now)
+    ]
+    return agent.host_policy.choose(agent, request, warm or untried)
 
 
 def _forward(agent, request, host, now):
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import coldness
 
 MIN_RETRY_AFTER_MS = 50
 # Callers are asked to wait at most the time they have left, divided by this.
@@ -69,6 +70,7 @@
                 reason,
                 retry_after_ms,
                 worktimes.expected_wait_ms(agent),
+                cold_ms=coldness.remaining_ms(agent, agent.now),
             )
         )
         return
@@ -110,6 +112,7 @@
                 wait_ms=worktimes.expected_wait_ms(agent),
                 work_ms=int(worktimes.current_work_ms(agent, request.route)),
                 held_ms=age_ms,
+                cold_ms=coldness.remaining_ms(agent, agent.now),
             ),
         )
         return
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -18,7 +18,7 @@
 MAX_SENDS = 4
 
 
-def cold_fleet(others=1, cold_per_s=COLD_PER_S):
+def cold_fleet(others=1, cold_per_s=COLD_PER_S, divided=1):
     """Return a deployment whose hosts `m0`, `m1`, ... have a cold rate."""
     services = {
         name: attrs.evolve(
@@ -26,7 +26,9 @@
         )
         for name, service in fleetconfig.CONFIGURATION.services.items()
     }
-    hosts = [('b0', fleetconfig.SERVICE, 'd0')]
+    hosts = [
+        (f'b{number}', fleetconfig.SERVICE, 'd0') for number in range(divided)
+    ]
     hosts += [
         (f'm{number}', fleetconfig.OTHER_SERVICE, 'd0')
         for number in range(others)
@@ -158,6 +160,64 @@
         assert agent.backend.start_tokens >= before + 1
 
 
+class TestOtherHosts:
+    """Many senders, of which each alone sends little to a cold host."""
+
+    def test_new_server_is_avoided(self):
+        """Guards against one request of each sender to a server just started.
+
+        The other two hosts have room.
+        """
+        fleet = cold_fleet(others=3, divided=8)
+        restart_server(fleet)
+        fleet.run(SECOND_MS)
+        assert not self._received_at_cold_host(fleet, SECOND_MS, 2)
+
+    def test_server_gone_cold_is_avoided(self):
+        """Guards against senders that ask a host again and again.
+
+        Nothing but its responses says that its server has become cold.
+        """
+        fleet = cold_fleet(others=3, divided=8)
+        self._received_at_cold_host(fleet, SECOND_MS, 4)
+        fleet.backends['m0'].cold_until = fleet.now + 3 * COLD_MS
+        fleet.post('m0', fleet.backends['m0'].announce())
+        self._received_at_cold_host(fleet, 400, 4)
+        fleet.run(COLD_MS)
+        assert not self._received_at_cold_host(fleet, SECOND_MS, 4)
+
+    def test_cold_server_is_used_when_others_are_full(self):
+        """Guards against refusals while a cold server has room for some."""
+        fleet = cold_fleet(others=3, divided=8)
+        restart_server(fleet)
+        fleet.run(SECOND_MS)
+        self._received_at_cold_host(fleet, SECOND_MS, 8, step_ms=10)
+        assert 1 < len(fleet.backends['m0'].started) <= MAX_SENDS
+
+    def test_warm_server_is_used_again(self):
+        """Guards against a host that is avoided after its cold time."""
+        fleet = cold_fleet(others=3, divided=8)
+        restart_server(fleet)
+        fleet.run(COLD_MS + SECOND_MS)
+        assert self._received_at_cold_host(fleet, SECOND_MS, 4)
+
+    def _received_at_cold_host(self, fleet, duration_ms, senders, step_ms=50):
+        """Send from some hosts; return how many requests reached `m0`."""
+        before = self._ended(fleet)
+        for _ in range(duration_ms // step_ms):
+            for number in range(senders):
+                fleet.call(f'b{number}', '/')
+            fleet.run(step_ms)
+        return self._ended(fleet) - before
+
+    def _ended(self, fleet):
+        return sum(
+            counter.total
+            for counter in fleet.agents['m0'].counters
+            if counter.name == 'requests_ended'
+        )
+
+
 class TestWait:
     """What callers and other agents are told."""
 
--- a/tests/test_mesh_peerlink.py
+++ b/tests/test_mesh_peerlink.py
@@ -102,10 +102,14 @@
         assert arrived.sender == 'a'
         answer = messages.Answer(200, (('X', 'y'),), b'whole')
         agents.links['b'].carry_out(
-            messages.ReplyAnswer(arrived.number, answer, 12, 34, 56),
+            messages.ReplyAnswer(
+                arrived.number, answer, 12, 34, 56, cold_ms=78
+            ),
         )
         ended = await agents.wait_for('a', messages.ExchangeEnded)
-        assert ended == messages.ExchangeEnded(5, 1, answer, 12, 34, 56)
+        assert ended == messages.ExchangeEnded(
+            5, 1, answer, 12, 34, 56, cold_ms=78
+        )
         await agents.stop()
 
     async def test_lost_connection_fails_sent_requests(self):
