Plan the keys of cold hosts by what their servers bear

A host that comes back with a cold server had the least load of all, so it got whole pieces at once and refused most of their requests. Renewals now say how long the server stays cold, and the planner counts such a host with the cold rate of its service, so that its keys come in steps; the pieces of a lost host go to warm ones.

--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -41,11 +41,16 @@
 
 @attrs.define(frozen=True)
 class Candidate:
-    """A host that may own keys; `capacity` is in requests per ms."""
+    """A host that may own keys; `capacity` is in requests per ms.
+
+    If its server `is_cold`, it gets no keys of a lost host that others can
+    take.
+    """
 
     host_id: str
     life: ranges.Life
     capacity: float
+    is_cold: bool = False
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -21,6 +21,7 @@
     fencing tokens of pieces that were handed over to the host and that it holds
     now, some of them if there are many. `lease_issued_at` is
     the field `issued_at` of the last lease of this term, 0 if there was none.
+    `cold_ms` is how long its backend server stays cold.
 
     The load since the last renewal: `buckets` are pairs (bucket, requests) of
     the buckets with the most arrivals; `busy_ms` is the time that the `done`
@@ -44,6 +45,7 @@
     buckets: tuple[tuple[int, int], ...] = ()
     held_fences: tuple[int, ...] = ()
     lease_issued_at: int = 0
+    cold_ms: int = 0
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -143,7 +143,8 @@
 
     `grants_end` is the latest end of grants at its backend server that the
     plan does not cover. `held_fences` are the fencing tokens of pieces
-    that were handed over to it and that it holds.
+    that were handed over to it and that it holds. Until `cold_until` its
+    backend server is cold.
     `reports` are the renewals whose load figures the planner has not read yet.
     """
 
@@ -165,6 +166,7 @@
     wait_ms: int = 0
     grants_end: int = 0
     held_fences: frozenset[int] = frozenset()
+    cold_until: int = 0
     reports: list = attrs.Factory(list)
 
 
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -20,6 +20,7 @@
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import coldness
 
 RENEW_MS = 400
 # The send times of this many renewals are kept; leases in response to older
@@ -99,6 +100,7 @@
             handovers.reported_fences(agent)[:MAX_REPORTED_FENCES]
         ),
         lease_issued_at=agent.lease.issued_at,
+        cold_ms=coldness.remaining_ms(agent, now),
     )
 
 
@@ -288,6 +290,7 @@
     )
     lease_holder.has_store = renew.has_store
     lease_holder.wait_ms = renew.wait_ms
+    lease_holder.cold_until = now + renew.cold_ms
     lease_holder.held_fences = frozenset(renew.held_fences)
     lease_holder.reports.append(renew)
     return lease_holder
--- a/laburnumlatch/mesh/plandraft.py
+++ b/laburnumlatch/mesh/plandraft.py
@@ -149,7 +149,9 @@
         if not others:
             return piece
         now = self._now
-        target = min(others, key=self._relative_load_of)
+        # A whole piece may be far more than a cold server bears.
+        warm = [host for host in others if not host.is_cold]
+        target = min(warm or others, key=self._relative_load_of)
         share = balancing.load_of(piece, self._rates) / self._total_rate
         capacity = sum(host.capacity for host in self._candidates)
         self._relative_loads[target.host_id] += (
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -17,6 +17,7 @@
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh.pacing import coldcapacity
 
 TICKET = 'plan/'
 READ_TICKET = 'plan/read/'
@@ -205,7 +206,7 @@
     default_ms = (
         sum(mean_ms.values()) / len(mean_ms) if mean_ms else DEFAULT_MEAN_MS
     )
-    return [
+    candidates = [
         balancing.Candidate(
             holder.host_id,
             holder.life,
@@ -214,6 +215,7 @@
         for holder in sorted(agent.lease_holders, key=lambda host: host.host_id)
         if holder.service == service and _can_own_keys(holder, now)
     ]
+    return coldcapacity.limit(agent, service, candidates, now)
 
 
 def _can_own_keys(holder, now):
