Use the load that backend servers report

Machines are slow for moments of about a request, and the agent noticed only when requests had ended late or filled half of the slots. Work times are kept at the usual speed, and estimates multiply them by the reported slowness, averaged over about a request, so that a slow moment counts once and is forgotten when it is over. Renewals carry its mean over ten seconds for the capacities of the planner. A server that says it has fewer slots than it announces gets no more than that.

--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -3,6 +3,7 @@
 from laburnumlatch.experiments import fleetchecks
 from laburnumlatch.experiments import grantledger
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 
 WORK_MS = 100
@@ -28,7 +29,8 @@
 
     A grant arrives after `grant_delay_ms`. While `is_cut` the server lives on,
     but its agent cannot reach it; what is in transit still arrives. Until
-    `cold_until` it announces that it is cold.
+    `cold_until` it announces that it is cold. Work takes `slowness` times as
+    long, which its responses report if `reports_load` is set.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -58,6 +60,9 @@
         self.loses_grant_answers = False
         self.grant_delay_ms = 0
         self.cold_until = 0
+        self.slowness = 1
+        self.reports_load = False
+        self.slots = SLOTS
         self.started = []
         self.handovers = []
 
@@ -76,6 +81,14 @@
         self.sequence = 0
         self.is_draining = False
 
+    def load_report(self):
+        """Return what a response says of the load, None if nothing."""
+        if not self.reports_load:
+            return None
+        return messages.ServerLoadReport(
+            len(self.running), 0, self.slots, self.slowness
+        )
+
     def announce(self):
         """Return the next `BackendAnnounced`, with a new sequence number."""
         self.sequence += 1
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -153,15 +153,14 @@
             return
         if self._meets_fault(host_id, backend, send):
             return
-        end = self._fleet.now + backend.work_ms
+        work_ms = int(backend.work_ms * backend.slowness)
+        end = self._fleet.now + work_ms
         backend.running[send.number] = (key, end)
         backend.started.append((self._fleet.now, send.head.request_id))
         action = (
             self._make_nested_calls if backend.nested_calls else self._finish
         )
-        self._fleet.schedule(
-            backend.work_ms, action, host_id, backend.life, send
-        )
+        self._fleet.schedule(work_ms, action, host_id, backend.life, send)
 
     def _meets_fault(self, host_id, backend, send):
         """Return whether a fault of the server keeps a request from running."""
@@ -262,5 +261,6 @@
                 send.number,
                 send.exchange,
                 messages.Answer(status or backend.status, (), host_id.encode()),
+                server_load=backend.load_report(),
             ),
         )
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -7,6 +7,7 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -22,7 +23,7 @@
     if not agent.departure_log.is_known:
         # An earlier process may have acknowledged that the server leaves.
         return
-    free_slots = backend.slots - backend.running
+    free_slots = serverload.usable_slots(backend) - backend.running
     free_starts = min(free_slots, pace.free_starts(agent, now))
     if free_starts > 0:
         for request in admission.startable_requests(agent, now)[:free_starts]:
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -16,6 +16,7 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.pacing import coldness
+from laburnumlatch.mesh.pacing import serverload
 
 METRIC_PREFIX = 'laburnumlatch'
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
@@ -172,6 +173,12 @@
         'Time until the backend server is warm.',
         coldness.remaining_ms(agent, agent.now) / clock.MS_PER_S,
     )
+    yield (
+        'backend_slowness',
+        'How long work takes on the machine, as its server reports; 1 is the '
+        'usual speed.',
+        serverload.slowness(agent),
+    )
 
 
 def _state_gauges(agent):
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -21,11 +21,12 @@
     fencing tokens of pieces that were handed over to the host and that it holds
     now, some of them if there are many. `lease_issued_at` is
     the field `issued_at` of the last lease of this term, 0 if there was none.
-    `cold_ms` is how long its backend server stays cold.
+    `cold_ms` is how long its backend server stays cold, `slowness` how long
+    work took on its machine in the last seconds, 1 at the usual speed.
 
     The load since the last renewal: `buckets` are pairs (bucket, requests) of
     the buckets with the most arrivals; `busy_ms` is the time that the `done`
-    finished requests took at the backend server.
+    finished requests took at the backend server, at its usual speed.
     """
 
     host_id: str
@@ -46,6 +47,7 @@
     held_fences: tuple[int, ...] = ()
     lease_issued_at: int = 0
     cold_ms: int = 0
+    slowness: float = 1
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -144,7 +144,7 @@
     `grants_end` is the latest end of grants at its backend server that the
     plan does not cover. `held_fences` are the fencing tokens of pieces
     that were handed over to it and that it holds. Until `cold_until` its
-    backend server is cold.
+    backend server is cold. `slowness` is as in its last renewal.
     `reports` are the renewals whose load figures the planner has not read yet.
     """
 
@@ -167,6 +167,7 @@
     grants_end: int = 0
     held_fences: frozenset[int] = frozenset()
     cold_until: int = 0
+    slowness: float = 1
     reports: list = attrs.Factory(list)
 
 
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -21,6 +21,7 @@
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.pacing import coldness
+from laburnumlatch.mesh.pacing import serverload
 
 RENEW_MS = 400
 # The send times of this many renewals are kept; leases in response to older
@@ -87,7 +88,7 @@
         sequence=agent.lease.sequence,
         service=settings.service,
         life=life,
-        slots=0 if life is None else backend.slots,
+        slots=0 if life is None else serverload.usable_slots(backend),
         is_leaving=_is_leaving(agent),
         has_store=agent.role.has_store and agent.is_watching_members,
         plan_versions=_plan_versions(agent),
@@ -101,6 +102,7 @@
         ),
         lease_issued_at=agent.lease.issued_at,
         cold_ms=coldness.remaining_ms(agent, now),
+        slowness=serverload.usual_slowness(agent),
     )
 
 
@@ -291,6 +293,7 @@
     lease_holder.has_store = renew.has_store
     lease_holder.wait_ms = renew.wait_ms
     lease_holder.cold_until = now + renew.cold_ms
+    lease_holder.slowness = renew.slowness
     lease_holder.held_fences = frozenset(renew.held_fences)
     lease_holder.reports.append(renew)
     return lease_holder
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -16,6 +16,7 @@
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 # After this many consecutive exchanges without a response the backend server
 # counts as down. It is tried again after `BACKEND_RETRY_MS`, once it has
@@ -72,6 +73,8 @@
     if host is not None:
         host.failure_ratio += FAILURE_WEIGHT * (is_failure - host.failure_ratio)
     if request.state == rows.RequestState.RUNNING:
+        usual_ms = worktimes.usual_work_ms(agent, request.route)
+        serverload.update(agent, ended.server_load, usual_ms, now)
         worktimes.record_work_time(agent, request, now, has_failed=is_failure)
         silence.record_completion(agent, request, now)
         agent.backend.failures = 0
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -210,7 +210,9 @@
         balancing.Candidate(
             holder.host_id,
             holder.life,
-            holder.slots / mean_ms.get(holder.host_id, default_ms),
+            holder.slots
+            / mean_ms.get(holder.host_id, default_ms)
+            / holder.slowness,
         )
         for holder in sorted(agent.lease_holders, key=lambda host: host.host_id)
         if holder.service == service and _can_own_keys(holder, now)
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -122,14 +122,16 @@
     """Load that the local backend server reports with its responses.
 
     `running` and `waiting` are numbers of requests. `slowness` is how long
-    work takes on that machine, 1 as usual, smoothed over time. `reported_at`
-    is when the last report came.
+    work takes on that machine, averaged over about a request, and
+    `usual_slowness` the mean of it over seconds; 1 is the usual speed.
+    `reported_at` is when the last report came.
     """
 
     running: int = 0
     waiting: int = 0
     slots: int = 0
     slowness: float = 1
+    usual_slowness: float = 1
     reported_at: int = 0
 
 
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -6,6 +6,7 @@
 
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 DEFAULT_WORK_MS = 150.0
 MIN_SAMPLE_WEIGHT = 0.1
@@ -29,7 +30,9 @@
     It is `DEFAULT_WORK_MS` until a work time of the route is recorded.
     """
     work_time = agent.work_times.get(route)
-    return DEFAULT_WORK_MS if work_time is None else work_time.mean_ms
+    if work_time is None:
+        return DEFAULT_WORK_MS
+    return work_time.mean_ms * serverload.usual_slowness(agent)
 
 
 def is_known(agent, route):
@@ -41,8 +44,10 @@
     """Return how many times longer than usual requests take now, at least 1.
 
     Requests that are still running show earlier than finished ones that the
-    backend server has become slow, or is still cold after a start.
+    backend server has become slow, or is still cold after a start. If it also
+    reports how slow its machine is, the higher of both counts.
     """
+    reported = serverload.slowdown(agent)
     backend = agent.backend
     if backend is None:
         return 1
@@ -53,10 +58,10 @@
     ]
     if not running or len(running) < backend.slots * MIN_BUSY_SLOT_RATIO:
         # A few long requests are no evidence of a slow server.
-        return 1
+        return reported
     elapsed_ms = sum(agent.now - request.started_at for request in running)
     usual_ms = sum(usual_work_ms(agent, request.route) for request in running)
-    return max(1, elapsed_ms / usual_ms)
+    return max(reported, elapsed_ms / usual_ms)
 
 
 def record_work_time(agent, request, now, *, has_failed):
@@ -69,6 +74,9 @@
     usual_ms = usual_work_ms(agent, request.route)
     if has_failed and elapsed_ms < usual_ms:
         return
+    # What the machine was slow by meanwhile is multiplied in again by those
+    # who use the mean.
+    elapsed_ms /= serverload.slowness(agent)
     work_time = agent.work_times.get(request.route)
     if work_time is None:
         work_time = agent.work_times.put(request.route, rows.WorkTime(usual_ms))
@@ -77,7 +85,7 @@
     # default, which is only a guess.
     weight = max(MIN_SAMPLE_WEIGHT, 1 / work_time.count)
     work_time.mean_ms += weight * (elapsed_ms - work_time.mean_ms)
-    agent.load_report.busy_ms += elapsed_ms
+    agent.load_report.busy_ms += round(elapsed_ms)
     agent.load_report.done += 1
 
 
@@ -98,14 +106,17 @@
         if new_request is None or rank(request) <= rank(new_request)
     ]
     pace_ms = pace.wait_ms(agent, len(queued_ms))
-    if backend.running < backend.slots and not queued_ms:
+    slots = serverload.usable_slots(backend)
+    if backend.running < slots and not queued_ms:
         return pace_ms
     # Running requests are half finished on average.
     running_ms = backend.running * _mean_work_ms(agent) / 2
     ahead_ms = (sum(queued_ms) + running_ms) * slowdown(agent)
-    return max(pace_ms, int(ahead_ms / backend.slots))
+    return max(pace_ms, int(ahead_ms / slots))
 
 
 def _mean_work_ms(agent):
-    means_ms = [work_time.mean_ms for work_time in agent.work_times]
+    means_ms = [
+        usual_work_ms(agent, route) for route, _mean in agent.work_times.items()
+    ]
     return sum(means_ms) / len(means_ms) if means_ms else DEFAULT_WORK_MS
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -12,6 +12,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import durations
 from laburnumlatch.platform import fields as fields_module
+from laburnumlatch.platform import loadheader
 from laburnumlatch.platform import servercall
 from laburnumlatch.platform import serverconnection
 from laburnumlatch.platform import serverpool
@@ -59,7 +60,9 @@
         `memory` is the `bodymemory.BodyMemory` of the process.
         """
         super().__init__(post)
-        self._pool = serverpool.ServerPool(memory, clock.MonotonicClock())
+        time_source = clock.MonotonicClock()
+        self._pool = serverpool.ServerPool(memory, time_source)
+        self._loads = loadheader.LoadReader(time_source)
         self._calls = {}
         self._is_closed = False
 
@@ -108,7 +111,10 @@
 
     def _finish_send(self, message, outcome):
         self._calls.pop((message.number, message.exchange), None)
-        self._post(_build_event(message, outcome))
+        event = _build_event(message, outcome)
+        if isinstance(event, messages.ExchangeEnded):
+            event = attrs.evolve(event, server_load=self._loads.read(outcome))
+        self._post(event)
 
     def _grant(self, message):
         body = {
