Bound the bodies that the backend server has not read

A server that reads slowly kept bodies in memory until nothing was left for those still to come. Bodies being written to it may take an eighth of the process's memory; one that does not fit beside others is refused as not run before a byte of it is sent, which says nothing about the server.

--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -11,6 +11,10 @@
 # Bodies whose length is not known may have no end. Up to this share they may
 # grow, so that others still fit.
 ENDLESS_SHARE = 0.3
+# Bodies that are being written to the backend server and that it has not read.
+# One that reads slowly must not take what bodies still to come need: half of
+# the share of requests.
+UNREAD_SHARE = 0.125
 
 
 @attrs.define(frozen=True)
@@ -33,6 +37,7 @@
         self._max_request_bytes = int(process_bytes * REQUESTS_SHARE)
         self._max_bytes = int(process_bytes * ALL_SHARE)
         self._max_endless_bytes = int(process_bytes * ENDLESS_SHARE)
+        self._max_unread_bytes = int(process_bytes * UNREAD_SHARE)
         self._held_bytes = 0
         self._waiters = []
 
@@ -53,6 +58,15 @@
         """Return whether a body of unknown length may grow by `size`."""
         return self._held_bytes + size <= self._max_endless_bytes
 
+    def fits_unread(self, unread_bytes, size):
+        """Return whether a body may be sent to the server beside others.
+
+        The server has not read `unread_bytes` of the others. A body always
+        fits alone.
+        """
+        total = unread_bytes + size
+        return not unread_bytes or total <= self._max_unread_bytes
+
     def may_ever_fit(self, size):
         """Return whether a body would fit if no other were held."""
         return size <= self._max_bytes
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -177,10 +177,12 @@
 def _count_backend_failure(agent, request, failure, now):
     """Count a failed exchange; too many in a row take the server out of use.
 
-    A refusal is a response, and does not count.
+    A refusal is a response, and does not count, and neither does a request
+    that was not sent for want of memory.
     """
     backend = agent.backend
-    if failure.phase == messages.Phase.REFUSED:
+    is_refusal = failure.phase == messages.Phase.REFUSED
+    if is_refusal or failure.reason == messages.Reason.NO_MEMORY:
         return
     took_ms = now - request.started_at
     if failure.phase == messages.Phase.SENT and took_ms > BACKEND_RETRY_MS:
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -33,6 +33,7 @@
 ONCE_REST_MS = 100
 WRONG_REQUEST_ID = serverconnection.WRONG_REQUEST_ID
 MISSING_REQUEST_ID = 'a response without an ID may be of an earlier request'
+UNREAD_BODIES = 'the server has not read the bodies before it'
 STATUS_OK = 200
 # Status codes of one class have the same hundreds.
 STATUS_CLASS_SIZE = 100
@@ -62,6 +63,7 @@
         super().__init__(post)
         time_source = clock.MonotonicClock()
         self._pool = serverpool.ServerPool(memory, time_source)
+        self._memory = memory
         self._loads = loadheader.LoadReader(time_source)
         self._calls = {}
         self._is_closed = False
@@ -96,6 +98,16 @@
             self._release(message)
 
     def _send(self, message):
+        if message.body and not self._has_room(len(message.body)):
+            self._post(
+                _failure(
+                    message,
+                    messages.Phase.UNSENT,
+                    messages.Reason.NO_MEMORY,
+                    UNREAD_BODIES,
+                )
+            )
+            return
         call = servercall.ServerCall(
             message.address,
             message.head.method,
@@ -109,6 +121,11 @@
         self._calls[message.number, message.exchange] = call
         self._pool.start(call)
 
+    def _has_room(self, size):
+        """Return whether a body fits beside those that are still unread."""
+        unread_bytes = sum(call.unread_bytes for call in self._calls.values())
+        return self._memory.fits_unread(unread_bytes, size)
+
     def _finish_send(self, message, outcome):
         self._calls.pop((message.number, message.exchange), None)
         event = _build_event(message, outcome)
--- a/laburnumlatch/platform/servercall.py
+++ b/laburnumlatch/platform/servercall.py
@@ -50,7 +50,8 @@
     `keeps_connection` is set, with `keeps_after_success` only behind a success
     response. `on_end` is called once with a `ServerResponse` or a
     `CallFailure`, at the latest after `timeout_ms`. `was_sent` says that bytes
-    of it may have reached the server.
+    of it may have reached the server. `writer` is the
+    `piecewriter.PieceWriter` of its connection, None before it has one.
     """
 
     address: str
@@ -67,6 +68,7 @@
     was_sent: bool = False
     is_done: bool = False
     connection: object = None
+    writer: object = None
     timer: object = None
 
     @property
@@ -74,6 +76,14 @@
         """Whether no kept connection may be used."""
         return not self.max_rest_ms
 
+    @property
+    def unread_bytes(self):
+        """Bytes of the body that have not left the process, about."""
+        size = len(self.body)
+        if self.writer is None:
+            return size
+        return min(size, self.writer.unsent_bytes)
+
     def fail(self, detail, *, is_stale=False):
         """Report that there is no complete response, and why."""
         self.end(CallFailure(detail, self.was_sent, is_stale))
--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -70,6 +70,7 @@
         self._call = call
         self._group = call.group
         call.connection = self
+        call.writer = self._writer
         call.was_sent = True
         self._calls_started += 1
         self._has_received = False
