Show cold and uneven servers in workloads

The simulated servers may be cold, crash from too many requests while they are, and be slow for moments that they report. The faults 'cold' and 'uneven' use that; the figures count crashes.

--- a/laburnumlatch/experiments/faults.py
+++ b/laburnumlatch/experiments/faults.py
@@ -6,6 +6,12 @@
 from laburnumlatch.core import clock
 
 SLOWDOWN_RATIO = 4
+# A cold server that bears 2.35 requests a second may get 11 in one.
+MAX_COLD_STARTS = 11
+# Machines of the users are slow for moments, a fifth of the time.
+SLOW_MOMENT_RATIO = 3
+SLOW_MS = 400
+SLOW_PERIOD_MS = 2000
 
 
 class Fault(abc.ABC):
@@ -82,10 +88,47 @@
         fleet.store.is_down = False
 
 
+class ColdServers(Fault):
+    """Backend servers that restart under load, and are cold then."""
+
+    def begin(self, fleet, host_ids):
+        """Restart the server of the first host."""
+        backend = fleet.backends[host_ids[0]]
+        backend.max_cold_starts = MAX_COLD_STARTS
+        backend.restart_cold()
+
+    def end(self, fleet, host_ids):
+        """Do nothing: the server becomes warm by itself."""
+
+
+class UnevenServers(Fault):
+    """Machines that are slow for moments, as their servers report."""
+
+    def begin(self, fleet, host_ids):
+        """Begin with the slow moments, one machine after another."""
+        for number, host_id in enumerate(host_ids):
+            fleet.backends[host_id].reports_load = True
+            fleet.schedule(number * SLOW_MS, self._slow_down, fleet, host_id)
+
+    def end(self, fleet, host_ids):
+        """End the last moments."""
+        for host_id in host_ids:
+            fleet.backends[host_id].reports_load = False
+
+    def _slow_down(self, fleet, host_id):
+        backend = fleet.backends[host_id]
+        if backend.reports_load:
+            backend.slowness = SLOW_MOMENT_RATIO
+            fleet.schedule(SLOW_MS, setattr, backend, 'slowness', 1)
+            fleet.schedule(SLOW_PERIOD_MS, self._slow_down, fleet, host_id)
+
+
 BY_NAME = types.MappingProxyType({
     'none': NoFault(),
     'slow': SlowServers(),
     'lost': LostHost(),
     'restart': RestartedAgent(),
     'store': StoreOutage(),
+    'cold': ColdServers(),
+    'uneven': UnevenServers(),
 })
--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -1,5 +1,9 @@
 """Simulated backend servers."""
 
+import itertools
+import math
+
+from laburnumlatch.core import clock
 from laburnumlatch.experiments import fleetchecks
 from laburnumlatch.experiments import grantledger
 from laburnumlatch.mesh import backendmsg
@@ -7,6 +11,9 @@
 from laburnumlatch.mesh import ranges
 
 WORK_MS = 100
+# A server that has crashed starts again after this time, and is then cold.
+RESTART_MS = 1000
+COLD_MS = 3000
 SLOTS = 6
 STATUS_OK = 200
 STATUS_ERROR = 500
@@ -30,7 +37,9 @@
     A grant arrives after `grant_delay_ms`. While `is_cut` the server lives on,
     but its agent cannot reach it; what is in transit still arrives. Until
     `cold_until` it announces that it is cold. Work takes `slowness` times as
-    long, which its responses report if `reports_load` is set.
+    long, which its responses report if `reports_load` is set. A cold server
+    crashes if it gets more than `max_cold_starts` requests within a second,
+    and starts again, cold; `crashes` counts that.
 
     `running` maps the numbers of running requests to (key, end in ms),
     `started` lists (start in ms, request ID) and `handovers` the handover
@@ -63,6 +72,8 @@
         self.slowness = 1
         self.reports_load = False
         self.slots = SLOTS
+        self.max_cold_starts = math.inf
+        self.crashes = 0
         self.started = []
         self.handovers = []
 
@@ -81,6 +92,23 @@
         self.sequence = 0
         self.is_draining = False
 
+    def crash_if_overloaded(self):
+        """End the present life if a cold server gets too many requests."""
+        now = self.fleet.now
+        recent = itertools.takewhile(
+            lambda start: start[0] > now - clock.MS_PER_S,
+            reversed(self.started),
+        )
+        is_cold = now < self.cold_until
+        if is_cold and len(tuple(recent)) > self.max_cold_starts:
+            self.crashes += 1
+            self.restart_cold()
+
+    def restart_cold(self):
+        """End the present life; the next one is cold, and announces itself."""
+        self.is_up = False
+        self.fleet.schedule(RESTART_MS, self._start_cold)
+
     def load_report(self):
         """Return what a response says of the load, None if nothing."""
         if not self.reports_load:
@@ -146,3 +174,7 @@
     def holds(self, key):
         """Tell whether a request for `key` may start."""
         return self.is_up and self.ledger.holds(key, self.fleet.now)
+
+    def _start_cold(self):
+        self.restart(COLD_MS)
+        self.fleet.post(self.host_id, self.announce())
--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -157,6 +157,7 @@
         end = self._fleet.now + work_ms
         backend.running[send.number] = (key, end)
         backend.started.append((self._fleet.now, send.head.request_id))
+        backend.crash_if_overloaded()
         action = (
             self._make_nested_calls if backend.nested_calls else self._finish
         )
--- a/laburnumlatch/experiments/workload.py
+++ b/laburnumlatch/experiments/workload.py
@@ -38,6 +38,8 @@
 # Start and duration of the fault, as shares of the run.
 FAULT_START_SHARE = 0.4
 FAULT_DURATION_SHARE = 0.3
+# Requests a second that a cold server bears, as the users state it.
+COLD_PER_S = 2.35
 
 
 @attrs.define(frozen=True)
@@ -60,8 +62,9 @@
 def scenario(paths, *, is_naive=False, **fields):
     """Return a `Scenario` with the configuration in the operators' files.
 
-    With `is_naive`, requests wait until their deadline and hosts are chosen
-    at random. Raises `InvalidInputError` for an unknown fault.
+    With `is_naive`, requests wait until their deadline, hosts are chosen at
+    random, and cold servers get no pace. Raises `InvalidInputError` for an
+    unknown fault.
     """
     if fields.get('fault', 'none') not in faults.BY_NAME:
         expected = ', '.join(faults.BY_NAME)
@@ -75,6 +78,8 @@
             'host_policy': choosing.RandomPolicy(),
         }
     configuration = assembly.assemble(publish.load_entries(paths)).configuration
+    if fields.get('fault') == 'cold' and not is_naive:
+        configuration = _with_cold_rate(configuration)
     return Scenario(configuration, policies=policies, **fields)
 
 
@@ -143,6 +148,9 @@
             'imbalance': self._imbalance(),
             'churn': round(self._moved_keys / fleetconfig.KEY_COUNT, 3),
             'shared_keys': len(self.fleet.violations),
+            'crashes': sum(
+                backend.crashes for backend in self.fleet.backends.values()
+            ),
         }
 
     def _requests_per_step(self, route):
@@ -232,6 +240,19 @@
         change(self.fleet, affected)
 
 
+def _with_cold_rate(configuration):
+    """Return the configuration with the rate that cold servers bear."""
+    services = {
+        name: attrs.evolve(
+            service,
+            cold_per_s=COLD_PER_S,
+            cold_start_ms=fleetbackend.COLD_MS,
+        )
+        for name, service in configuration.services.items()
+    }
+    return attrs.evolve(configuration, services=services)
+
+
 def _hosts(configuration):
     """Return (host ID, service, domain) of all hosts."""
     return [
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -58,6 +58,20 @@
         for name in ('bokun.airing-booking', 'moti.status-read'):
             assert now[name] > naive[name] + 0.05
 
+    def test_cold_server_does_not_crash(self):
+        """Guards against a server that crashes while it is cold.
+
+        Without a pace it does so again and again.
+        """
+        crashes = [
+            measure_workload('deploy/accra', fault='cold', is_naive=is_naive)[
+                'crashes'
+            ]
+            for is_naive in (True, False)
+        ]
+        assert crashes[0]
+        assert not crashes[1]
+
     def test_unknown_fault_is_rejected(self, capsys):
         with pytest.raises(errors.InvalidInputError, match='expected one of'):
             measure_workload('deploy/accra', fault='fire')
