Pace a server that has just accepted no connection

A server that starts anew may take requests for up to 870 ms before its first announcement arrives, and got them at the usual rate. A failed connection is now taken for a sign of that, until the next announcement.

--- a/laburnumlatch/mesh/pacing/coldness.py
+++ b/laburnumlatch/mesh/pacing/coldness.py
@@ -13,6 +13,8 @@
 MAX_COLD_RATIO = 4
 # The longest cold time that is believed if the service does not configure one.
 DEFAULT_MAX_COLD_MS = 30_000
+# Longer than the interval of announcements, 870 ms.
+SUSPECT_MS = 1000
 # Announcements come about once a second, and repeat a time that is too long.
 CLAMP_LOG_INTERVAL_MS = 60_000
 
@@ -32,8 +34,8 @@
         _log.warning(
             'cold-time-clamped', said_ms=cold_ms, believed_ms=believed_ms
         )
-    was_cold = backend.cold_until > now
-    backend.cold_until = now + believed_ms
+    was_cold = bool(backend.cold_until)
+    backend.cold_until = now + believed_ms if believed_ms else 0
     if was_cold != bool(believed_ms):
         counting.count(agent, 'cold_changes', cold=bool(believed_ms))
         _log.info(
@@ -46,6 +48,19 @@
         )
 
 
+def suspect(agent, now):
+    """Take the own server for cold, as it accepted no connection.
+
+    It may be starting anew, and serve requests before its first announcement
+    arrives. The next announcement says what is true.
+    """
+    backend = agent.backend
+    if remaining_ms(agent, now) or not cold_rate(agent):
+        return
+    backend.cold_until = now + SUSPECT_MS
+    _log.info('server-maybe-cold', server=backend.life.server_id)
+
+
 def cold_rate(agent):
     """Return the requests a second that the own server bears while cold.
 
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -262,6 +262,27 @@
         left_ms = coldness.remaining_ms(agent, fleet.now)
         assert left_ms == COLD_MS * coldness.MAX_COLD_RATIO
 
+    def test_new_life_before_its_announcement(self):
+        """Guards against the usual rate to a new life that is not known yet.
+
+        The server accepted no connection just before, and takes requests
+        again before it announces itself.
+        """
+        fleet = cold_fleet()
+        backend = fleet.backends['m0']
+        agent = fleet.agents['m0']
+        while agent.backend.last_announced < fleet.now:
+            fleet.run(1)
+        backend.is_cut = True
+        send_many(fleet, 10)
+        fleet.run(5)
+        backend.restart(COLD_MS)
+        backend.is_cut = False
+        since = fleet.now
+        send_many(fleet, 500)
+        assert agent.backend.last_announced < since
+        assert most_in_a_second(fleet, since=since) <= MAX_SENDS
+
     def test_newest_announcement_counts(self):
         """Guards against a pace that outlasts the cold time."""
         fleet = cold_fleet()
