--- a/laburnumlatch/experiments/fleetwork.py
+++ b/laburnumlatch/experiments/fleetwork.py
@@ -52,6 +52,7 @@
                 work_ms=answered.work_ms,
                 held_ms=answered.held_ms,
                 waits=answered.waits,
+                cold_ms=answered.cold_ms,
             )
         for refusal in outbox.take(messages.ReplyRefusal):
             self._reply(
@@ -63,6 +64,7 @@
                 retry_after_ms=refusal.retry_after_ms,
                 wait_ms=refusal.wait_ms,
                 waits=refusal.waits,
+                cold_ms=refusal.cold_ms,
             )
 
     def fail_forwards_to(self, host_id):
@@ -152,10 +154,11 @@
             return
         if self._meets_fault(host_id, backend, send):
             return
-        work_ms = backend.draw_work_ms(send.head)
+        work_ms = int(backend.draw_work_ms(send.head) * backend.slowness)
         end = self._fleet.now + work_ms
         backend.running[send.number] = (key, end)
         backend.started.append((self._fleet.now, send.head.request_id))
+        backend.crash_if_overloaded()
         action = (
             self._make_nested_calls if backend.makes_calls() else self._finish
         )
@@ -218,9 +221,9 @@
             return
         number = self._fleet.call(
             host_id,
-            backend.nested_path,
-            key=self._nested_key(backend.nested_path),
-            time_left_ms=backend.nested_timeout_ms,
+            backend.calling.path,
+            key=self._nested_key(backend.calling.path),
+            time_left_ms=backend.calling.timeout_ms,
             request_id=f'{send.head.request_id}.{finished_calls}',
         )
         self._await_nested_call(host_id, life, send, finished_calls, number)
@@ -266,5 +269,6 @@
                 send.number,
                 send.exchange,
                 messages.Answer(status or backend.status, (), host_id.encode()),
+                server_load=backend.load_report(),
             ),
         )
--- a/laburnumlatch/experiments/overloadloads.py
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -100,7 +100,7 @@
         """Return the `Shares` of each kind of request with these settings."""
         fleet = deployment(self.owners, host_settings, seed)
         for backend in fleet.backends.values():
-            backend.work_spread = self.spread
+            backend.works = attrs.evolve(backend.works, spread=self.spread)
             if self.has_slow_spells:
                 _schedule_slow_spells(fleet, backend, self.duration_ms)
         loads = {
@@ -133,14 +133,14 @@
         hosts, seed, configuration=CONFIGURATION, host_settings=settings
     )
     for backend in fleet.backends.values():
-        backend.work_by_path = dict(WORK_MS)
+        backend.works = fleetbackend.Works(dict(WORK_MS))
         if backend.service == _READS:
             backend.slots = SLOTS
             continue
         backend.nested_calls = 1
-        backend.nested_share = NESTED_SHARE
-        backend.nested_path = '/asset/'
-        backend.nested_timeout_ms = _BY_NAME['asset'].timeout_ms
+        backend.calling = fleetbackend.Calling(
+            NESTED_SHARE, '/asset/', _BY_NAME['asset'].timeout_ms
+        )
     fleet.run(fleetsim.SETTLE_MS)
     return fleet
 
@@ -221,12 +221,18 @@
 
 
 def _schedule_slow_spells(fleet, backend, duration_ms):
-    usual = dict(backend.work_by_path)
-    slow = {path: SLOW_RATIO * usual_ms for path, usual_ms in usual.items()}
+    usual = backend.works
+    slow = attrs.evolve(
+        usual,
+        by_path={
+            path: SLOW_RATIO * usual_ms
+            for path, usual_ms in usual.by_path.items()
+        },
+    )
     start = fleet.rng.randrange(SLOW_INTERVAL_MS)
     for begin in range(start, duration_ms, SLOW_INTERVAL_MS):
-        fleet.schedule(begin, setattr, backend, 'work_by_path', slow)
-        fleet.schedule(begin + SLOW_MS, setattr, backend, 'work_by_path', usual)
+        fleet.schedule(begin, setattr, backend, 'works', slow)
+        fleet.schedule(begin + SLOW_MS, setattr, backend, 'works', usual)
 
 
 def patterns():
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -10,6 +10,8 @@
 from laburnumlatch.mesh.evacuation import domains
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
+from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 # A backend server that has failed gets one trial request in this time.
 TRIAL_MS = 500
@@ -25,11 +27,20 @@
     if not agent.departure_log.is_known:
         # An earlier process may have acknowledged that the server leaves.
         return
-    if backend.running >= backend.slots:
-        return
-    startable = admission.startable_requests(agent, now)
-    while startable and backend.running < backend.slots:
-        _start(agent, floor.next_to_start(agent, startable), backend, now)
+    free_slots = serverload.usable_slots(backend) - backend.running
+    free_starts = min(free_slots, pace.free_starts(agent, now))
+    if free_starts > 0:
+        startable = admission.startable_requests(agent, now)
+        _start_next(agent, startable, free_starts, now)
+    if len(agent.queue):
+        pace.wake_at_next_start(agent, now)
+
+
+def _start_next(agent, startable, count, now):
+    """Start up to `count` of the requests that may start."""
+    for _ in range(min(count, len(startable))):
+        request = floor.next_to_start(agent, startable)
+        _start(agent, request, agent.backend, now)
 
 
 def _may_send(agent, now):
@@ -60,12 +71,14 @@
     """Return whether a running request may be sent once more, and count it.
 
     By now this host may have to release the key, the backend server may be
-    leaving, or the bound of an evacuation may be over.
+    leaving or cold, or the bound of an evacuation may be over.
     """
     if not _may_send(agent, now) or not admission.may_start(
         agent, request, now
     ):
         return False
+    if not pace.free_starts(agent, now):
+        return False
     if not retrybudget.spend_retry(agent, request.service, now):
         return False
     counting.count(agent, 'requests_repeated', service=request.service)
@@ -82,6 +95,7 @@
     regions.record_send(agent, request, now)
     request.exchange += 1
     request.started_at = now
+    pace.count_send(agent, now)
     agent.outbox.post(
         messages.Send(
             number=request.number,
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -16,6 +16,8 @@
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh.evacuation import progress
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.pacing import coldness
+from laburnumlatch.mesh.pacing import serverload
 
 METRIC_PREFIX = 'laburnumlatch'
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
@@ -43,6 +45,8 @@
     'keys_received': 'Keys granted to this host for the first time.',
     'keys_released': 'Keys released by the backend server.',
     'announcements': 'Announcements of the backend server by outcome.',
+    'cold_changes': 'How often the backend server became cold or warm.',
+    'paced_starts': 'Requests sent to the backend server while it was cold.',
 })
 
 
@@ -169,6 +173,17 @@
         'Whether the backend server responds.',
         int(backend is not None and backend.failed_since is None),
     )
+    yield (
+        'backend_cold_seconds',
+        'Time until the backend server is warm.',
+        coldness.remaining_ms(agent, agent.now) / clock.MS_PER_S,
+    )
+    yield (
+        'backend_slowness',
+        'How long work takes on the machine, as its server reports; 1 is the '
+        'usual speed.',
+        serverload.slowness(agent),
+    )
 
 
 def _state_gauges(agent):
--- a/laburnumlatch/mesh/inbound.py
+++ b/laburnumlatch/mesh/inbound.py
@@ -81,6 +81,7 @@
             reply.work_ms,
             reply.held_ms,
             waits=reply.waits,
+            cold_ms=reply.cold_ms,
         )
         body = reply.answer.body
         if self.peer_reads_parts and len(body) > bodyparts.PART_BYTES:
--- a/laburnumlatch/mesh/outbound.py
+++ b/laburnumlatch/mesh/outbound.py
@@ -302,6 +302,7 @@
             message.work_ms,
             message.held_ms,
             message.waits,
+            cold_ms=message.cold_ms,
         )
     return messages.ExchangeFailed(
         number=message.number,
@@ -312,4 +313,5 @@
         retry_after_ms=message.retry_after_ms,
         wait_ms=message.wait_ms,
         waits=message.waits,
+        cold_ms=message.cold_ms,
     )
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -15,6 +15,8 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 # After this many consecutive exchanges without a response the backend server
 # counts as down. It is tried again after `BACKEND_RETRY_MS`, once it has
@@ -71,13 +73,15 @@
     if host is not None:
         host.failure_ratio += FAILURE_WEIGHT * (is_failure - host.failure_ratio)
     if request.state == rows.RequestState.RUNNING:
+        usual_ms = worktimes.usual_work_ms(agent, request.route)
+        serverload.update(agent, ended.server_load, usual_ms, now)
         worktimes.record_work_time(agent, request, now, has_failed=is_failure)
         silence.record_completion(agent, request, now)
         agent.backend.failures = 0
         agent.backend.failed_since = None
         agent.backend.last_response = now
     else:
-        _update_wait(agent, request.host_id, ended.wait_ms, now)
+        _update_wait(agent, request.host_id, ended, now)
         if host is not None and ended.work_ms is not None:
             host.work_ms[request.route] = ended.work_ms
             worktimes.record_reported_work_time(
@@ -121,6 +125,8 @@
         verdict=failure.verdict,
         detail=failure.detail or None,
     )
+    if is_local:
+        pace.count_failure(agent, failure, now)
     if is_local and _send_again_if_stale(agent, request, failure, now):
         return
     if _may_have_reached_server(failure):
@@ -174,10 +180,12 @@
 def _count_backend_failure(agent, request, failure, now):
     """Count a failed exchange; too many in a row take the server out of use.
 
-    A refusal is a response, and does not count.
+    A refusal is a response, and does not count, and neither does a request
+    that was not sent for want of memory.
     """
     backend = agent.backend
-    if failure.phase == messages.Phase.REFUSED:
+    is_refusal = failure.phase == messages.Phase.REFUSED
+    if is_refusal or failure.reason == messages.Reason.NO_MEMORY:
         return
     took_ms = now - request.started_at
     if failure.phase == messages.Phase.SENT and took_ms > BACKEND_RETRY_MS:
@@ -218,7 +226,7 @@
     if failure.verdict is None:
         _back_off(host, request, now)
     else:
-        _update_wait(agent, request.host_id, failure.wait_ms, now)
+        _update_wait(agent, request.host_id, failure, now)
         if failure.reason in {
             messages.Reason.NO_MEMORY,
             messages.Reason.SERVER_DOWN,
@@ -238,12 +246,14 @@
     host.failures += 1
 
 
-def _update_wait(agent, host_id, wait_ms, now):
+def _update_wait(agent, host_id, event, now):
     """Update the wait that a host reported; stop avoiding it if it was lost."""
     host = agent.hosts.get(host_id)
-    if host is not None and wait_ms is not None:
-        host.wait_ms = wait_ms
+    if host is not None and event.wait_ms is not None:
+        host.wait_ms = event.wait_ms
         host.reported_at = now
+        if event.cold_ms is not None:
+            host.cold_until = now + event.cold_ms
         if host.failures:
             host.failures = 0
             host.avoid_until = now
--- a/laburnumlatch/mesh/overload/forecast.py
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -3,6 +3,8 @@
 import itertools
 
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import pace
+from laburnumlatch.mesh.pacing import serverload
 
 
 def remaining_ms(agent):
@@ -17,7 +19,8 @@
         worktimes.found_running_ms(agent, request) * slowdown / 2
         for request in agent.running
     ]
-    free_slots = max(0, agent.backend.slots - len(lefts_ms))
+    slots = serverload.usable_slots(agent.backend)
+    free_slots = max(0, slots - len(lefts_ms))
     lefts_ms.extend(itertools.repeat(0, free_slots))
     return sorted(lefts_ms)
 
@@ -38,14 +41,15 @@
 def expected_wait_ms(agent, order=None):
     """Return how long a new request would wait in the queue here, in ms.
 
-    Only queued requests that start before `order` count; all count if it is
-    None.
+    It waits for a slot and, while the server is cold, for the pace. Only
+    queued requests that start before `order` count; all count if it is None.
     """
     backend = agent.backend
     if backend is None or not backend.slots:
         return worktimes.SERVER_DOWN_WAIT_MS
     ahead_ms = agent.queue.work_ms_before(order)
-    if backend.running < backend.slots and not ahead_ms:
-        return 0
+    pace_ms = pace.wait_ms(agent, agent.queue.count_before(order))
+    if backend.running < serverload.usable_slots(backend) and not ahead_ms:
+        return pace_ms
     ahead_ms *= worktimes.slowdown(agent)
-    return int(start_in_ms(remaining_ms(agent), ahead_ms))
+    return max(pace_ms, int(start_in_ms(remaining_ms(agent), ahead_ms)))
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -73,10 +73,16 @@
     def work_ms_before(self, order=None):
         """Return the expected work of the requests that start before `order`.
 
+        Those of the same order are included; None stands for all requests.
+        """
+        return sum(self._works_ms[: self.count_before(order)])
+
+    def count_before(self, order=None):
+        """Return the number of the requests that start before `order`.
+
         Those of the same order are included; None stands for all requests.
         """
         if order is None:
-            return sum(self._works_ms)
+            return len(self._keys)
         # A longer tuple is greater than its prefix, whatever it adds.
-        end = bisect.bisect(self._keys, (order, float('inf')))
-        return sum(self._works_ms[:end])
+        return bisect.bisect(self._keys, (order, float('inf')))
--- a/laburnumlatch/mesh/peerlink.py
+++ b/laburnumlatch/mesh/peerlink.py
@@ -170,6 +170,7 @@
                     message.retry_after_ms,
                     message.wait_ms,
                     message.waits,
+                    cold_ms=message.cold_ms,
                 )
             )
 
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -49,7 +49,7 @@
 class Answered:
     """The response to an `Ask`; times as in `messages.ReplyAnswer`.
 
-    `body_bytes` is as in `Ask`.
+    `body_bytes` is as in `Ask`. `cold_ms` is None from an earlier build.
     """
 
     number: int
@@ -60,6 +60,7 @@
     held_ms: int
     body_bytes: int = 0
     waits: tuple[int, ...] = ()
+    cold_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -76,6 +77,7 @@
     retry_after_ms: int
     wait_ms: int
     waits: tuple[int, ...] = ()
+    cold_ms: int | None = None
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -18,6 +18,7 @@
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.pacing import coldcapacity
 
 TICKET = 'plan/'
 READ_TICKET = 'plan/read/'
@@ -223,15 +224,18 @@
     default_ms = (
         sum(mean_ms.values()) / len(mean_ms) if mean_ms else DEFAULT_MEAN_MS
     )
-    return [
+    candidates = [
         balancing.Candidate(
             holder.host_id,
             holder.life,
-            holder.slots / mean_ms.get(holder.host_id, default_ms),
+            holder.slots
+            / mean_ms.get(holder.host_id, default_ms)
+            / holder.slowness,
         )
         for holder in sorted(agent.lease_holders, key=lambda host: host.host_id)
         if holder.service == service and _can_own_keys(agent, holder, now)
     ]
+    return coldcapacity.limit(agent, service, candidates, now)
 
 
 def _can_own_keys(agent, holder, now):
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -5,6 +5,7 @@
 """
 
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh.pacing import serverload
 
 DEFAULT_WORK_MS = 150.0
 # Targets are set to three to five times the usual work time of a route.
@@ -33,7 +34,7 @@
     """
     work_time = agent.work_times.get(request.route)
     if work_time is not None:
-        return work_time.mean_ms
+        return work_time.mean_ms * serverload.usual_slowness(agent)
     return work_ms_elsewhere(agent, request)
 
 
@@ -51,7 +52,9 @@
     It is `DEFAULT_WORK_MS` until a work time of the route is recorded.
     """
     work_time = agent.work_times.get(route)
-    return DEFAULT_WORK_MS if work_time is None else work_time.mean_ms
+    if work_time is None:
+        return DEFAULT_WORK_MS
+    return work_time.mean_ms * serverload.usual_slowness(agent)
 
 
 def found_running_ms(agent, request):
@@ -63,7 +66,8 @@
     work_time = agent.work_times.get(request.route)
     if work_time is None:
         return work_ms_elsewhere(agent, request)
-    return work_time.mean_square / work_time.mean_ms
+    found_ms = work_time.mean_square / work_time.mean_ms
+    return found_ms * serverload.usual_slowness(agent)
 
 
 def is_known(agent, route):
@@ -76,8 +80,10 @@
 
     Requests that are still running show earlier than finished ones that the
     backend server has become slow, or is still cold after a start. With
-    `route`, only requests of that route count.
+    `route`, only requests of that route count. If the server also reports how
+    slow its machine is, the higher of both counts.
     """
+    reported = serverload.slowdown(agent)
     backend = agent.backend
     if backend is None:
         return 1
@@ -88,10 +94,10 @@
     ]
     if not running or len(running) < backend.slots * MIN_BUSY_SLOT_RATIO:
         # A few long requests are no evidence of a slow server.
-        return 1
+        return reported
     elapsed_ms = sum(agent.now - request.started_at for request in running)
     usual_ms = sum(found_running_ms(agent, request) for request in running)
-    return max(1, elapsed_ms / usual_ms)
+    return max(reported, elapsed_ms / usual_ms)
 
 
 def record_work_time(agent, request, now, *, has_failed):
@@ -104,11 +110,14 @@
     usual_ms = expected_work_ms(agent, request)
     if has_failed and elapsed_ms < usual_ms:
         return
+    # What the machine was slow by meanwhile is multiplied in again by those
+    # who use the mean.
+    elapsed_ms /= serverload.slowness(agent)
     work_time = agent.work_times.get(request.route)
     if work_time is None:
         work_time = agent.work_times.put(request.route, rows.WorkTime(usual_ms))
     _include(work_time, elapsed_ms)
-    agent.load_report.busy_ms += elapsed_ms
+    agent.load_report.busy_ms += round(elapsed_ms)
     agent.load_report.done += 1
 
 
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -12,6 +12,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.platform import durations
 from laburnumlatch.platform import fields as fields_module
+from laburnumlatch.platform import loadheader
 from laburnumlatch.platform import servercall
 from laburnumlatch.platform import serverconnection
 from laburnumlatch.platform import serverpool
@@ -32,6 +33,7 @@
 ONCE_REST_MS = 100
 WRONG_REQUEST_ID = serverconnection.WRONG_REQUEST_ID
 MISSING_REQUEST_ID = 'a response without an ID may be of an earlier request'
+UNREAD_BODIES = 'the server has not read the bodies before it'
 STATUS_OK = 200
 # Status codes of one class have the same hundreds.
 STATUS_CLASS_SIZE = 100
@@ -59,7 +61,10 @@
         `memory` is the `bodymemory.BodyMemory` of the process.
         """
         super().__init__(post)
-        self._pool = serverpool.ServerPool(memory, clock.MonotonicClock())
+        time_source = clock.MonotonicClock()
+        self._pool = serverpool.ServerPool(memory, time_source)
+        self._memory = memory
+        self._loads = loadheader.LoadReader(time_source)
         self._calls = {}
         self._is_closed = False
 
@@ -93,6 +98,16 @@
             self._release(message)
 
     def _send(self, message):
+        if message.body and not self._has_room(len(message.body)):
+            self._post(
+                _failure(
+                    message,
+                    messages.Phase.UNSENT,
+                    messages.Reason.NO_MEMORY,
+                    UNREAD_BODIES,
+                )
+            )
+            return
         call = servercall.ServerCall(
             message.address,
             message.head.method,
@@ -106,9 +121,17 @@
         self._calls[message.number, message.exchange] = call
         self._pool.start(call)
 
+    def _has_room(self, size):
+        """Return whether a body fits beside those that are still unread."""
+        unread_bytes = sum(call.unread_bytes for call in self._calls.values())
+        return self._memory.fits_unread(unread_bytes, size)
+
     def _finish_send(self, message, outcome):
         self._calls.pop((message.number, message.exchange), None)
-        self._post(_build_event(message, outcome))
+        event = _build_event(message, outcome)
+        if isinstance(event, messages.ExchangeEnded):
+            event = attrs.evolve(event, server_load=self._loads.read(outcome))
+        self._post(event)
 
     def _grant(self, message):
         body = {
--- a/laburnumlatch/platform/requestoutput.py
+++ b/laburnumlatch/platform/requestoutput.py
@@ -17,10 +17,15 @@
         self._transport = transport
         self._writer = piecewriter.PieceWriter(transport)
 
+    @property
+    def unsent_bytes(self):
+        """Bytes that have not left the process."""
+        return self._writer.unsent_bytes
+
     @property
     def is_sent(self):
         """Whether all bytes have left the process."""
-        return not self._writer.unsent_bytes
+        return not self.unsent_bytes
 
     @property
     def is_written(self):
