Refuse what waits in vain for a server that became cold

Requests that were queued while the server was warm waited to their deadlines, and their callers had no time left to go elsewhere. They are refused as not run at once if the pace would start them too late, or placed on another host.

--- /dev/null
+++ b/laburnumlatch/mesh/pacing/coldqueue.py
@@ -0,0 +1,42 @@
+"""System: refuses queued requests that a cold server will not get in time.
+
+They were queued while it was warm. Callers and other agents that know at once
+have time left to go elsewhere.
+"""
+
+from laburnumlatch.mesh import decisions
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import requests
+from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import coldness
+from laburnumlatch.mesh.pacing import pace
+
+
+def run(agent, now):
+    """Keep as many requests as the pace lets start in time, in their order."""
+    if not len(agent.queue) or not coldness.remaining_ms(agent, now):
+        return
+    kept = 0
+    for request in sorted(agent.queue, key=agent.wait_policy.rank):
+        wait_ms = pace.wait_ms(agent, kept)
+        work_ms = worktimes.current_work_ms(agent, request.route)
+        if now + wait_ms + work_ms <= request.deadline:
+            kept += 1
+        else:
+            _refuse(agent, request, wait_ms)
+
+
+def _refuse(agent, request, wait_ms):
+    """Refuse a request as not run, or have another host chosen for it.
+
+    The agent that forwarded a request chooses for it, and a key has one owner.
+    """
+    decisions.record(agent, request, 'server-cold', wait_ms=wait_ms)
+    reason = messages.Reason.NO_ROOM
+    if request.sender or agent.is_divided(request.service):
+        requests.refuse(
+            agent, request, reason, agent.wait_policy.retry_after_ms(wait_ms)
+        )
+        return
+    request.tried_hosts.append(agent.host_id)
+    requests.park(agent, request, reason)
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -25,6 +25,7 @@
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import storeepochs
 from laburnumlatch.mesh import throttling
+from laburnumlatch.mesh.pacing import coldqueue
 
 # `counting` counts the store's responses before other systems remove them
 # from the inbox, and `storeepochs` looks at their versions. The state of hosts
@@ -52,6 +53,7 @@
     placement,
     throttling,
     admission,
+    coldqueue,
     dispatch,
     leaving,
 )
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -238,6 +238,38 @@
         ]
         assert len(refused) == len(numbers)
 
+    def test_queue_of_a_server_that_becomes_cold(self):
+        """Guards against senders that wait for a cold server in vain.
+
+        Their requests were queued while it was warm, and their deadlines are
+        before the starts that they would get.
+        """
+        fleet = cold_fleet()
+        send_many(fleet, 200)
+        queue = fleet.agents['m0'].queue
+        assert len(queue) > 2
+        self._become_cold(fleet)
+        assert not len(queue)
+
+    def test_queued_callers_go_to_other_hosts(self):
+        """Guards against refusals of queued requests that others can serve."""
+        fleet = cold_fleet(others=2)
+        agent = fleet.agents['m0']
+        agent.hosts.get('m1').avoid_until = fleet.now + 5
+        numbers = []
+        for _ in range(3):
+            numbers += [fleet.call('m0', '/') for _ in range(5)]
+            fleet.run(1)
+        queued = set(agent.queue.keys())
+        assert queued
+        self._become_cold(fleet)
+        fleet.run(300)
+        assert queued.issubset(numbers)
+        assert all(
+            isinstance(fleet.outcomes[number], messages.Deliver)
+            for number in queued
+        )
+
     def test_without_a_cold_rate_nothing_changes(self):
         """Guards against a pace where the configuration states none."""
         fleet = cold_fleet(cold_per_s=0)
@@ -249,6 +281,12 @@
             for number in numbers
         )
 
+    def _become_cold(self, fleet):
+        backend = fleet.backends['m0']
+        backend.cold_until = fleet.now + COLD_MS
+        fleet.post('m0', backend.announce())
+        fleet.run(1)
+
 
 class TestColdTime:
     """Until when an agent takes its server for cold."""
