--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -26,6 +26,7 @@
 from laburnumlatch.mesh import storeepochs
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh.evacuation import progress
+from laburnumlatch.mesh.pacing import coldqueue
 
 # `counting` counts the store's responses before other systems remove them
 # from the inbox, and `storeepochs` looks at their versions. The state of hosts
@@ -54,6 +55,7 @@
     placement,
     throttling,
     admission,
+    coldqueue,
     dispatch,
     leaving,
 )
