Refuse at the ingress what the owner of a key would refuse

Cause: agents forwarded requests to owners whose queue was full for them; each cost a round trip and the time of the owner, and the caller learned late when to come back.

Change: owners report their wait by rank with each response and refusal, as the domain of the sender finds it. The agent of the caller refuses a request whose wait at the owner is 1.1 times too long. Nested calls pass, and so does a request if none is on its way there or the figure is older than 1 s. The choice of a host of an undivided service uses the wait of the request's rank too, also for the own host.

Corrected: the floor took the most urgent class for the one that had waited longest.

--- a/laburnumlatch/mesh/choosing.py
+++ b/laburnumlatch/mesh/choosing.py
@@ -4,6 +4,7 @@
 
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import owners
 
 # Traffic between failure domains is expensive: a host in another domain is
 # chosen only if a request ends sooner there by this time, plus a time for
@@ -75,7 +76,7 @@
 def _cost_ms(agent, request, host, best_work_ms):
     """Return wait, work and penalties of a request at a host, in ms."""
     cost_ms = (
-        _expected_wait_ms(agent, host)
+        _expected_wait_ms(agent, request, host)
         + _expected_work_ms(agent, request, host, best_work_ms)
         + host.failure_ratio * FAILURE_PENALTY_MS
     )
@@ -89,7 +90,7 @@
     )
 
 
-def _expected_wait_ms(agent, host):
+def _expected_wait_ms(agent, request, host):
     """Return how long a request would wait at a host.
 
     For another host this is the larger of two estimates: the wait that it
@@ -97,8 +98,9 @@
     this agent, with the new one, that exceed the slots of that host.
     """
     if host.host_id == agent.host_id:
-        return forecast.expected_wait_ms(agent)
-    reported_ms = max(0, host.wait_ms - (agent.now - host.reported_at))
+        order = agent.wait_policy.rank(request)
+        return forecast.expected_wait_ms(agent, order)
+    reported_ms = owners.expected_wait_ms(host, request.rank, agent.now)
     slots = max(1, host.record.slots)
     excess_requests = max(0, host.in_flight + 1 - slots)
     return max(reported_ms, excess_requests * worktimes.DEFAULT_WORK_MS / slots)
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -30,6 +30,8 @@
     'determined.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
+    'requests_refused_early': 'Requests refused because the owner of their '
+    'key reports a wait that is too long.',
     'requests_displaced': 'Queued requests refused because more urgent ones '
     'joined the queue.',
     'exchanges_failed': 'Exchanges that ended without a response.',
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -77,7 +77,7 @@
         agent.backend.failed_since = None
         agent.backend.last_response = now
     else:
-        _update_wait(agent, request.host_id, ended.wait_ms, now)
+        _update_wait(agent, request.host_id, ended, now)
         if host is not None and ended.work_ms is not None:
             host.work_ms[request.route] = ended.work_ms
             worktimes.record_reported_work_time(
@@ -218,7 +218,7 @@
     if failure.verdict is None:
         _back_off(host, request, now)
     else:
-        _update_wait(agent, request.host_id, failure.wait_ms, now)
+        _update_wait(agent, request.host_id, failure, now)
         if failure.reason in {
             messages.Reason.NO_MEMORY,
             messages.Reason.SERVER_DOWN,
@@ -238,11 +238,15 @@
     host.failures += 1
 
 
-def _update_wait(agent, host_id, wait_ms, now):
-    """Update the wait that a host reported; stop avoiding it if it was lost."""
+def _update_wait(agent, host_id, event, now):
+    """Update the waits that a host reported; stop avoiding it if it was lost.
+
+    `event` is the message with its response.
+    """
     host = agent.hosts.get(host_id)
-    if host is not None and wait_ms is not None:
-        host.wait_ms = wait_ms
+    if host is not None and event.wait_ms is not None:
+        host.wait_ms = event.wait_ms
+        host.waits = event.waits
         host.reported_at = now
         if host.failures:
             host.failures = 0
--- a/laburnumlatch/mesh/overload/fairness.py
+++ b/laburnumlatch/mesh/overload/fairness.py
@@ -83,6 +83,17 @@
     ) + _is_exceeded(by_domain, domain, usages.host_counts, agent.now)
 
 
+def has_domain_exceeded(agent, rank, request):
+    """Return whether the domain of a sender has had more than its share."""
+    usages = agent.usages
+    return _is_exceeded(
+        usages.by_domain[rank],
+        _domain_of(agent, request),
+        usages.host_counts,
+        agent.now,
+    )
+
+
 def _is_exceeded(by_name, own_name, weights, now):
     works_ms = {name: usage.work_at(now) for name, usage in by_name.items()}
     total_ms = sum(works_ms.values())
--- a/laburnumlatch/mesh/overload/floor.py
+++ b/laburnumlatch/mesh/overload/floor.py
@@ -29,8 +29,9 @@
 
 
 def _index_of_longest_waiting(startable):
-    oldest = min(startable, key=_arrival)
+    """Return the index of the first request of that less urgent class."""
     ranks = [request.rank for request in startable]
+    oldest = min(startable[ranks.count(ranks[0]) :], key=_arrival)
     return ranks.index(oldest.rank)
 
 
--- /dev/null
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -0,0 +1,81 @@
+"""What an agent knows about the queues of the hosts that own keys.
+
+Owners report the wait in their queue by rank with each response. The agent of
+the caller refuses at once what the owner would refuse: that spares both the way
+there, and the caller learns sooner when to come back.
+"""
+
+import attrs
+
+from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import fairness
+from laburnumlatch.mesh.overload import forecast
+
+# Owners report the waits of this many ranks at least; less urgent ranks wait
+# as long as the last one.
+MIN_RANKS = 3
+# A host may have refused requests for a reason that is over by now.
+MAX_REPORT_AGE_MS = 1000
+# An owner may start a request ahead of some of its rank, so that a wait a
+# little beyond the bound is no certain refusal.
+MARGIN_RATIO = 1.1
+
+
+@attrs.define(frozen=True)
+class Refusal:
+    """The wait that is expected at an owner, and the longest one, in ms."""
+
+    wait_ms: int
+    longest_wait_ms: int
+
+
+def waits_by_rank(agent, request):
+    """Return the wait by rank for the sender of a request, in ms.
+
+    It is empty if nothing is queued, or if the queue is not sorted by rank.
+    Ranks count from 0. The domain of the sender may have had more than its
+    share, and then waits longer.
+    """
+    if not len(agent.queue) or not agent.wait_policy.displaces:
+        return ()
+    if agent.backend is None or not agent.backend.slots:
+        return ()
+    lefts_ms = forecast.remaining_ms(agent)
+    slowdown = worktimes.slowdown(agent)
+    last_rank = agent.queue.entries()[-1].order[0]
+    waits_ms = []
+    for rank in range(max(MIN_RANKS, last_rank + 1)):
+        exceeded = fairness.has_domain_exceeded(agent, rank, request)
+        ahead_ms = agent.queue.work_ms_before((rank, False, exceeded))
+        waits_ms.append(
+            int(forecast.start_in_ms(lefts_ms, ahead_ms * slowdown))
+        )
+    return tuple(waits_ms)
+
+
+def expected_wait_ms(host, rank, now):
+    """Return the last reported wait of a rank, less the age of the report."""
+    wait_ms = host.wait_ms
+    if host.waits:
+        wait_ms = host.waits[min(max(0, rank), len(host.waits) - 1)]
+    return max(0, wait_ms - (now - host.reported_at))
+
+
+def refusal(agent, request, host, now):
+    """Return a `Refusal` if the owner is certain to refuse a request, or None.
+
+    A request passes if no other one is on its way there, so that its response
+    renews the figures. Nested calls pass as well: their refusal costs most.
+    """
+    is_old = now - host.reported_at > MAX_REPORT_AGE_MS
+    if request.is_nested or is_old or not host.in_flight or not host.waits:
+        return None
+    work_ms = host.work_ms.get(request.route)
+    if work_ms is None:
+        work_ms = worktimes.work_ms_elsewhere(agent, request)
+    slack_ms = request.deadline - now - work_ms
+    longest_ms = int(agent.wait_policy.max_wait_ms(request, slack_ms))
+    wait_ms = int(expected_wait_ms(host, request.rank, now))
+    if wait_ms <= longest_ms * MARGIN_RATIO:
+        return None
+    return Refusal(wait_ms, longest_ms)
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -6,6 +6,9 @@
 
 from laburnumlatch.mesh import rows
 
+# Greater than every part of an order.
+_LAST = float('inf')
+
 
 @attrs.define(frozen=True)
 class Entry:
@@ -73,10 +76,11 @@
     def work_ms_before(self, order=None):
         """Return the expected work of the requests that start before `order`.
 
-        Those of the same order are included; None stands for all requests.
+        Those of the same order, or whose order begins with it, are included;
+        None stands for all requests.
         """
         if order is None:
             return sum(self._works_ms)
         # A longer tuple is greater than its prefix, whatever it adds.
-        end = bisect.bisect(self._keys, (order, float('inf')))
+        end = bisect.bisect(self._keys, ((*order, _LAST), 0))
         return sum(self._works_ms[:end])
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
+from laburnumlatch.mesh.overload import owners
 
 # While one request probes a host that could not be reached, others avoid the
 # host for this time: longer than connecting to it may take.
@@ -40,10 +41,36 @@
         rejection = admission.enqueue(agent, request, now)
         if rejection is not None:
             _handle_rejection(agent, request, rejection, now)
-    else:
+    elif not _is_refused_early(agent, request, host, now):
         _forward(agent, request, host, now)
 
 
+def _is_refused_early(agent, request, host, now):
+    """Refuse what the owner of a key would refuse; return whether it did."""
+    if not agent.is_divided(request.service):
+        return False
+    refusal = owners.refusal(agent, request, host, now)
+    if refusal is None:
+        return False
+    counting.count(agent, 'requests_refused_early', service=request.service)
+    decisions.record(
+        agent,
+        request,
+        'owner-full',
+        host=host.host_id,
+        wait_ms=refusal.wait_ms,
+        longest_wait_ms=refusal.longest_wait_ms,
+        report_age_ms=now - host.reported_at,
+    )
+    requests.refuse(
+        agent,
+        request,
+        messages.Reason.NO_ROOM,
+        agent.wait_policy.retry_after_ms(refusal.wait_ms),
+    )
+    return True
+
+
 def has_untried_host(agent, request, now):
     """Return whether another host of an undivided service can be tried."""
     return any(
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -7,6 +7,7 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import owners
 
 MIN_RETRY_AFTER_MS = 50
 # Callers are asked to wait at most the time they have left, divided by this.
@@ -70,6 +71,7 @@
                 reason,
                 retry_after_ms,
                 forecast.expected_wait_ms(agent),
+                owners.waits_by_rank(agent, request),
             )
         )
         return
@@ -111,6 +113,7 @@
                 wait_ms=forecast.expected_wait_ms(agent),
                 work_ms=int(worktimes.current_work_ms(agent, request)),
                 held_ms=age_ms,
+                waits=owners.waits_by_rank(agent, request),
             ),
         )
         return
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -79,7 +79,8 @@
     `version` is the store version of `record`. `in_flight` counts the
     requests that this agent has forwarded there and that have not ended.
     `wait_ms` is the expected wait of a new request in the queue there, as
-    the host reported it at `reported_at`. `work_ms` and `round_trips` have
+    the host reported it at `reported_at`, and `waits` that by rank, empty if
+    it is the same for all. `work_ms` and `round_trips` have
     an entry for each route: the work time that the host expects, as reported
     with its responses, and the network time measured by this agent.
     `failure_ratio` is the moving average share of responses that are server
@@ -93,6 +94,7 @@
     in_flight: int = 0
     wait_ms: float = 0
     reported_at: int = 0
+    waits: tuple[int, ...] = ()
     failure_ratio: float = 0
     work_ms: dict[str, int] = attrs.Factory(dict)
     round_trips: dict[str, RoundTrip] = attrs.Factory(dict)
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -4,7 +4,9 @@
 import math
 import random
 import statistics
+from unittest import mock
 
+import attrs
 import msgpack
 import pytest
 
@@ -13,12 +15,15 @@
 from laburnumlatch.experiments import overloadloads
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
+from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import waiting
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.overload import fairness
+from laburnumlatch.mesh.overload import floor
+from laburnumlatch.mesh.overload import owners
 from laburnumlatch.mesh.overload import queue
 
 PATTERNS = overloadloads.patterns()
@@ -188,22 +193,29 @@
         displaced = displacement.find(agent, agent.now)
         assert [found.entry.request.number for found in displaced] == [3]
 
-    def test_every_class_gets_a_share(self):
-        """Guards against reads that never run beside urgent overload.
+    @pytest.mark.parametrize('share', [0, 0.05])
+    def test_every_class_gets_a_share(self, share):
+        """Guards against reads that never run while urgent requests wait.
 
-        Status requests alone take three times the capacity. Share of the
-        reads answered, seed 1: 0.25 without a floor, 0.37 with it.
+        A read of 550 ms and a call of 55 ms wait at every start. The reads get
+        the share of the work that the settings give.
         """
-        shares = []
-        for floor in (0, 0.05):
-            pattern = overloadloads.OverloadPattern(
-                'starved',
-                {'status': {'per_step': 2.5}, 'history': {'per_step': 0.1}},
-            )
-            shares.append(pattern.measure({'start_floor': floor}))
-        before, after = shares
-        assert after['history'].answered > before['history'].answered + 0.05
-        assert after['status'].in_time > before['status'].in_time - 0.1
+        agent = overloadloads.deployment(
+            host_settings={'start_floor': share}
+        ).agents['b0']
+        call, read = _running(1, 0), _running(2, 0)
+        read.rank = 2
+        read.route = 'history'
+        agent.work_times.put('asset', rows.WorkTime(55))
+        agent.work_times.put('history', rows.WorkTime(550))
+        agent.floor_credit_ms = 0
+        started = [
+            floor.next_to_start(agent, [call, read]) for _ in range(4000)
+        ]
+        reads = started.count(read)
+        assert reads * 550 == pytest.approx(
+            share * 55 * (4000 - reads), rel=0.1
+        )
 
 
 class TestFairness:
@@ -233,7 +245,7 @@
         """Guards against a domain that is held back for having more hosts."""
         agent = _busy_agent(100)
         usages = agent.usages
-        for domain, hosts in (('d0', 6), ('d1', 2)):
+        for domain, hosts in (('d0', 4), ('d1', 2)):
             usages.host_counts[domain] = hosts
             usage = usages.by_domain[1][domain]
             usage.work_ms = 100 * hosts
@@ -241,10 +253,68 @@
         agent.timers.put('fairness', agent.now + 1)
         request = _running(1, agent.now)
         assert not fairness.exceeded_shares(agent, request)
-        usages.by_domain[1]['d0'].work_ms *= 20
+        usages.by_domain[1]['d0'].work_ms *= 5
         assert fairness.exceeded_shares(agent, request) == 1
 
 
+class TestOwners:
+    """What the agent of a caller knows about the owner of a key."""
+
+    def test_fewer_requests_go_to_full_owners(self, monkeypatch):
+        """Guards against requests that are sent to an owner that refuses them.
+
+        Requests refused by owners, seed 1: more than twice as many if the
+        agents of callers do not use the reported waits. Nobody is locked out.
+        """
+        monkeypatch.setattr(requests, 'end', mock.Mock(wraps=requests.end))
+        refused = []
+        for max_age_ms in (-1, owners.MAX_REPORT_AGE_MS):
+            monkeypatch.setattr(owners, 'MAX_REPORT_AGE_MS', max_age_ms)
+            requests.end.reset_mock()
+            shares = PATTERNS['burst-of-a-domain'].measure({})
+            assert 1 - shares['fault@d1'].in_time < 1 / 5
+            refused.append(sum(bool(call.args[1].sender) for call in _ends()))
+        before, after = refused
+        assert after * 4 < before * 3
+
+    def test_old_figures_lock_nobody_out(self):
+        """Guards against senders that never send again to a host once full.
+
+        A request passes if none is on its way, and when the figure is old. A
+        nested call passes, and a rank that waits less.
+        """
+        agent = overloadloads.deployment().agents['m0']
+        host = agent.hosts.get('b0')
+        request = _running(1, agent.now)
+        host.waits = (0, 5000)
+        host.reported_at = agent.now
+        assert not owners.refusal(agent, request, host, agent.now)
+        host.in_flight = 1
+        assert owners.refusal(agent, request, host, agent.now)
+        later = agent.now + owners.MAX_REPORT_AGE_MS + 1
+        assert not owners.refusal(agent, request, host, later)
+        urgent = attrs.evolve(request, rank=0)
+        assert not owners.refusal(agent, urgent, host, agent.now)
+        nested = attrs.evolve(request, is_nested=True)
+        assert not owners.refusal(agent, nested, host, agent.now)
+
+    def test_waits_are_told_by_rank(self):
+        """Guards against urgent callers refused for a queue of others."""
+        fleet = overloadloads.deployment()
+        agent = fleet.agents['b0']
+        busy = _busy_agent(100)
+        agent.running = busy.running
+        agent.work_times = busy.work_times
+        _join(agent, 7, 2, 900, 9999)
+        waits = owners.waits_by_rank(agent, _running(1, agent.now))
+        assert waits[0] == waits[1]
+        assert waits[1] < waits[2]
+
+
+def _ends():
+    return requests.end.call_args_list
+
+
 def _busy_agent(work_ms):
     """Return an agent whose three slots run requests of `work_ms` each."""
     agent = overloadloads.deployment().agents['b0']
@@ -260,7 +330,12 @@
     request = _running(number, agent.now)
     request.is_nested = is_nested
     agent.queue.join(
-        queue.Entry(request, (rank, number), work_ms, agent.now + start_in_ms)
+        queue.Entry(
+            request,
+            (rank, False, 0, number),
+            work_ms,
+            agent.now + start_in_ms,
+        )
     )
 
 
