--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -247,10 +247,14 @@
 
 
 def _update_wait(agent, host_id, event, now):
-    """Update the wait that a host reported; stop avoiding it if it was lost."""
+    """Update the waits that a host reported; stop avoiding it if it was lost.
+
+    `event` is the message with its response.
+    """
     host = agent.hosts.get(host_id)
     if host is not None and event.wait_ms is not None:
         host.wait_ms = event.wait_ms
+        host.waits = event.waits
         host.reported_at = now
         if event.cold_ms is not None:
             host.cold_until = now + event.cold_ms
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -6,6 +6,9 @@
 
 from laburnumlatch.mesh import rows
 
+# Greater than every part of an order.
+_LAST = float('inf')
+
 
 @attrs.define(frozen=True)
 class Entry:
@@ -73,16 +76,18 @@
     def work_ms_before(self, order=None):
         """Return the expected work of the requests that start before `order`.
 
-        Those of the same order are included; None stands for all requests.
+        Those of the same order, or whose order begins with it, are included;
+        None stands for all requests.
         """
         return sum(self._works_ms[: self.count_before(order)])
 
     def count_before(self, order=None):
         """Return the number of the requests that start before `order`.
 
-        Those of the same order are included; None stands for all requests.
+        Those of the same order, or whose order begins with it, are included;
+        None stands for all requests.
         """
         if order is None:
             return len(self._keys)
         # A longer tuple is greater than its prefix, whatever it adds.
-        return bisect.bisect(self._keys, (order, float('inf')))
+        return bisect.bisect(self._keys, ((*order, _LAST), 0))
--- a/laburnumlatch/mesh/pacing/coldqueue.py
+++ b/laburnumlatch/mesh/pacing/coldqueue.py
@@ -17,9 +17,9 @@
     if not len(agent.queue) or not coldness.remaining_ms(agent, now):
         return
     kept = 0
-    for request in sorted(agent.queue, key=agent.wait_policy.rank):
+    for request in agent.queue:
         wait_ms = pace.wait_ms(agent, kept)
-        work_ms = worktimes.current_work_ms(agent, request.route)
+        work_ms = worktimes.current_work_ms(agent, request)
         if now + wait_ms + work_ms <= request.deadline:
             kept += 1
         else:
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -260,7 +260,7 @@
         for _ in range(3):
             numbers += [fleet.call('m0', '/') for _ in range(5)]
             fleet.run(1)
-        queued = set(agent.queue.keys())
+        queued = {request.number for request in agent.queue}
         assert queued
         self._become_cold(fleet)
         fleet.run(300)
