--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -41,18 +41,23 @@
         return ()
     if agent.backend is None or not agent.backend.slots:
         return ()
-    lefts_ms = forecast.remaining_ms(agent)
-    slowdown = worktimes.slowdown(agent)
     last_rank = agent.queue.entries()[-1].order[0]
-    waits_ms = []
-    for rank in range(max(MIN_RANKS, last_rank + 1)):
-        exceeded = fairness.has_domain_exceeded(agent, rank, request)
-        order = (rank, False, exceeded)
-        ahead_ms = agent.queue.work_ms_before(order)
-        start_ms = int(forecast.start_in_ms(lefts_ms, ahead_ms * slowdown))
-        pace_ms = pace.wait_ms(agent, agent.queue.count_before(order))
-        waits_ms.append(max(pace_ms, start_ms))
-    return tuple(waits_ms)
+    lefts_ms = forecast.remaining_ms(agent)
+    return tuple(
+        _wait_ms(
+            agent,
+            (rank, False, fairness.has_domain_exceeded(agent, rank, request)),
+            lefts_ms,
+        )
+        for rank in range(max(MIN_RANKS, last_rank + 1))
+    )
+
+
+def _wait_ms(agent, order, lefts_ms):
+    """Return the wait behind all of an order, for a slot and for the pace."""
+    ahead_ms = agent.queue.work_ms_before(order) * worktimes.slowdown(agent)
+    start_ms = int(forecast.start_in_ms(lefts_ms, ahead_ms))
+    return max(start_ms, pace.wait_ms(agent, agent.queue.count_before(order)))
 
 
 def expected_wait_ms(host, rank, now):
