--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -106,6 +106,7 @@
     `violations` lists every case of two backend servers with the same key
     granted at one time, as `grantledger.find_overlaps` returns them. Agents
     run from the sources, or from the one-file program at the path `binary`.
+    `limits` are the numbers of `self.limits` in their settings, by name.
     """
 
     def __init__(self, folder, specs, proxied=(), rng=None):
@@ -117,6 +118,7 @@
         """
         self._folder = pathlib.Path(folder)
         self.binary = ''
+        self.limits = {}
         self._store_servers = []
         self._backend_servers = {}
         self._tasks = []
@@ -180,7 +182,9 @@
         """
         host = self.hosts[host_id]
         path = self.settings_path(host_id)
-        text = settings.render(host, self._store_address_at(host.store_port))
+        text = settings.render(
+            host, self._store_address_at(host.store_port), self.limits
+        )
         path.write_text(text, encoding='utf-8')
         with self.log_path(host_id).open('ab') as log:
             host.agent = await asyncio.create_subprocess_exec(
@@ -310,12 +314,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running(folder, specs, *paths, proxied=()):
+async def running(folder, specs, *paths, proxied=(), limits=None):
     """Yield a `Deployment` that was started with `paths`; stop it afterwards.
 
-    The arguments are those of `Deployment` and of `Deployment.start`.
+    The arguments are those of `Deployment` and of `Deployment.start`, and the
+    `limits` of its agents.
     """
     deployment = Deployment(folder, specs, proxied)
+    deployment.limits = limits or {}
     try:
         await deployment.start(*paths)
         yield deployment
--- a/standins/platform/settings.py
+++ b/standins/platform/settings.py
@@ -23,13 +23,15 @@
 PEER_PORT = 7380
 
 
-def render(host, store_address):
+def render(host, store_address, limits):
     """Return the text of a settings file for the agent of a host.
 
-    `host` is a `deployment.Host`, `store_address` an `ip:port`.
+    `host` is a `deployment.Host`, `store_address` an `ip:port`. `limits` are
+    the numbers of `self.limits`, by name.
     """
     profile = host.backend.profile
-    return SETTINGS.format(
+    limit_lines = [f'{name} = {number}\n' for name, number in limits.items()]
+    text = SETTINGS.format(
         host_id=host.host_id,
         ip_text=host.ip_text,
         domain=profile.domain,
@@ -41,3 +43,4 @@
         peer_port=PEER_PORT,
         store_address=store_address,
     )
+    return ''.join((text, '[self.limits]\n', *limit_lines))
--- a/tests/lab.py
+++ b/tests/lab.py
@@ -83,6 +83,11 @@
                     return False
         return True
 
+    async def wait_until_answered(self, workload, limit_s, host_id='m1'):
+        """Wait until a request without a key is answered at a host."""
+        is_answered = functools.partial(self.probe, workload, None, host_id)
+        await deployment.wait_until('answered', is_answered, limit_s)
+
     async def _are_served(self, keys, host_id):
         probes = [self.probe(LOOKUP, key, host_id) for key in keys]
         return all(await asyncio.gather(*probes))
@@ -112,14 +117,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running(folder, divided=2, others=1, proxied=(), **profile):
+async def running(
+    folder, divided=2, others=1, proxied=(), limits=None, **profile
+):
     """Yield a `Lab` whose agents all answer; the hosts are as in `specs`.
 
     A proxy stands in front of the backend servers of the hosts in `proxied`.
+    `limits` are the `self.limits` of the agents' settings.
     """
     host_specs = specs(divided, others, **profile)
     async with deployment.running(
-        folder, host_specs, FILES, proxied=proxied
+        folder, host_specs, FILES, proxied=proxied, limits=limits
     ) as deployed:
         lab = Lab(deployed)
         lab.callers.addresses.extend(
