Bound what callers hold in memory and in descriptors

Only bodies counted in memory. Heads, unparsed bytes, connections and what a transport holds did not, nothing bounded the connections, and the loop read up to 256 KB at once for each.

Now one account (core/bodymemory) has a share for heads, unparsed bytes and connections beside that for bodies, with a bound for each caller address and one in all. Responses count until their last byte is handed over. Beyond a bound, reading stops; then connections are closed that hold most for what they move, but never one that waits for this process or rests; then new requests are refused (503, not run, with Retry-After). Connections beyond 0.6 of the descriptors close the quietest ones of the busiest address. A read takes 16 KB, or 64 KB of a body of known length, and one pass of the loop parses no more. Empty lines before a request have a bound and are no activity. Closed connections are counted and logged, twice a second at most.

Limits of the settings file must be above 0. A test of pipelining looks for the connections at their new place, the guard, and expects the same.

--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -1,4 +1,4 @@
-"""The memory that the bodies of requests and responses may take."""
+"""The memory that requests and responses may take."""
 
 from collections import abc
 
@@ -11,6 +11,14 @@
 # Bodies whose length is not known may have no end. Up to this share they may
 # grow, so that others still fit.
 ENDLESS_SHARE = 0.3
+# Heads, bytes that were not parsed yet, and the objects of connections and
+# requests. They have a share of their own, which long bodies cannot take.
+SMALL_SHARE = 0.15
+# An agent takes 53 MB before any caller has connected; the rest is for memory
+# that the allocator keeps.
+RESERVED_BYTES = 65_000_000
+# From here on, callers who hold much and move little are cut off.
+PRESSED_SHARE = 0.35
 
 
 @attrs.define(frozen=True)
@@ -22,10 +30,11 @@
 
 
 class BodyMemory:
-    """Counts the bodies that all front ends of a process hold, in bytes.
+    """Counts what all front ends of a process hold for requests, in bytes.
 
     A body counts once for each place that holds a copy of it, from when its
-    memory is promised until the last byte has been passed on.
+    memory is promised until the last byte has been passed on. Small things,
+    such as heads, count apart from bodies.
     """
 
     def __init__(self, process_bytes):
@@ -33,44 +42,64 @@
         self._max_request_bytes = int(process_bytes * REQUESTS_SHARE)
         self._max_bytes = int(process_bytes * ALL_SHARE)
         self._max_endless_bytes = int(process_bytes * ENDLESS_SHARE)
-        self._held_bytes = 0
+        self.max_small_bytes = int(process_bytes * SMALL_SHARE)
+        # A small process has no room for both shares beside its own memory.
+        self._max_total_bytes = min(
+            self._max_bytes + self.max_small_bytes,
+            max(self._max_bytes, process_bytes - RESERVED_BYTES),
+        )
+        self._pressed_bytes = int(process_bytes * PRESSED_SHARE)
+        self._body_bytes = 0
+        self._small_bytes = 0
         self._waiters = []
 
     @property
     def held_bytes(self):
-        """Sum of the bodies that are held."""
-        return self._held_bytes
+        """Sum of all that is held."""
+        return self._body_bytes + self._small_bytes
+
+    @property
+    def is_pressed(self):
+        """Whether callers who hold much and move little are to be cut off."""
+        return self.held_bytes > self._pressed_bytes
 
     def fits_request(self, size):
         """Return whether the body of another request fits."""
-        return self._held_bytes + size <= self._max_request_bytes
+        return self._fits(self._body_bytes, size, self._max_request_bytes)
 
     def fits(self, size):
         """Return whether another body fits, of a request or a response."""
-        return self._held_bytes + size <= self._max_bytes
+        return self._fits(self._body_bytes, size, self._max_bytes)
 
     def fits_endless(self, size):
         """Return whether a body of unknown length may grow by `size`."""
-        return self._held_bytes + size <= self._max_endless_bytes
+        return self._fits(self._body_bytes, size, self._max_endless_bytes)
+
+    def fits_small(self, size):
+        """Return whether so many bytes fit that do not belong to a body."""
+        return self._fits(self._small_bytes, size, self.max_small_bytes)
 
     def may_ever_fit(self, size):
         """Return whether a body would fit if no other were held."""
         return size <= self._max_bytes
 
     def hold(self, size):
-        """Count bytes as held."""
-        self._held_bytes += size
+        """Count bytes of a body as held."""
+        self._body_bytes += size
 
     def release(self, size):
-        """Count bytes as free, and let those go on who waited for them."""
-        self._held_bytes -= size
-        while self._waiters and self.fits(self._waiters[0].size):
-            waiter = self._waiters.pop(0)
-            self.hold(waiter.size)
-            waiter.go_on()
+        """Count bytes of a body as free; let those go on who wait for them."""
+        self._body_bytes -= size
+        self._wake_waiters()
+
+    def adjust_small(self, more_bytes):
+        """Hold bytes that are of no body, or release a negative number."""
+        self._small_bytes += more_bytes
+        if more_bytes < 0:
+            self._wake_waiters()
 
     def adjust(self, more_bytes):
-        """Hold bytes, or release them if the number is negative."""
+        """Hold bytes of a body, or release them if the number is negative."""
         if more_bytes > 0:
             self.hold(more_bytes)
         else:
@@ -90,3 +119,14 @@
         """Forget someone who waits; do nothing if they went on already."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
+
+    def _fits(self, held_bytes, size, bound):
+        """Return whether `size` fits under its bound and that of all."""
+        is_in_share = held_bytes + size <= bound
+        return is_in_share and self.held_bytes + size <= self._max_total_bytes
+
+    def _wake_waiters(self):
+        while self._waiters and self.fits(self._waiters[0].size):
+            waiter = self._waiters.pop(0)
+            self.hold(waiter.size)
+            waiter.go_on()
--- a/laburnumlatch/core/sockets.py
+++ b/laburnumlatch/core/sockets.py
@@ -12,13 +12,16 @@
 _INT = struct.Struct('i')
 
 
-def limit_unsent(transport):
-    """Let the kernel take little more than it can send at once."""
+def limit_unsent(transport, limit_bytes=MAX_UNSENT_BYTES):
+    """Let the kernel take little more than it can send at once.
+
+    With a `limit_bytes` of 0 it takes as much as it takes by default.
+    """
     opened = transport.get_extra_info('socket')
     # Not every platform has this option.
     with contextlib.suppress(OSError):
         opened.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, limit_bytes
         )
 
 
--- a/laburnumlatch/mesh/counting.py
+++ b/laburnumlatch/mesh/counting.py
@@ -6,6 +6,7 @@
 
 from laburnumlatch.core import histograms
 from laburnumlatch.core import storemsg
+from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import rows
 
 _STORE_OUTCOMES = (
@@ -17,7 +18,9 @@
 
 
 def run(agent, now):
-    """Count responses of the store before other systems consume them.
+    """Count what front ends report.
+
+    It counts responses of the store before other systems consume them.
 
     The first part of a ticket names the part of the agent that made the call.
     """
@@ -25,6 +28,13 @@
         for response in agent.inbox.peek(message_class):
             part = response.ticket.partition('/')[0]
             count(agent, 'store_calls', part=part, outcome=outcome)
+    for cut in agent.inbox.take(messages.CallersCut):
+        count(
+            agent,
+            'caller_connections_closed',
+            cut.connections,
+            reason=cut.reason,
+        )
 
 
 def count(agent, name, amount=1, **labels):
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -28,6 +28,8 @@
     'request is its status.',
     'requests_refused_unplaced': 'Requests refused before their service was '
     'determined.',
+    'caller_connections_closed': 'Connections of callers closed because memory '
+    'or descriptors were short.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
     'exchanges_failed': 'Exchanges that ended without a response.',
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -141,6 +141,17 @@
     number: int
 
 
+@attrs.define(frozen=True)
+class CallersCut:
+    """Connections of callers were closed because of a bound.
+
+    `reason` is `memory` or `descriptors`.
+    """
+
+    reason: str
+    connections: int
+
+
 @attrs.define(frozen=True)
 class ForwardArrived:
     """Another agent forwarded a request to this host.
--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file into the agent's settings."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -163,9 +164,10 @@
         """Return a number in `self.limits`."""
         name = f'self.limits.{field}'
         number = self._find(name, default)
-        if type(number) in {int, float}:
+        is_number = type(number) in {int, float}
+        if is_number and 0 < number < math.inf:
             return number
-        self._add(name, number, 'a number')
+        self._add(name, number, 'a number above 0')
         return default
 
     def bounds(self):
--- a/laburnumlatch/platform/callerexchanges.py
+++ b/laburnumlatch/platform/callerexchanges.py
@@ -8,6 +8,11 @@
 from laburnumlatch.platform import requestparser
 from laburnumlatch.platform import responsebytes
 
+# A head is held here, in the row of its request, and encoded for its server.
+HEAD_COPIES = 3
+# The objects of a request: its exchange, its messages, its row.
+EXCHANGE_BYTES = 4096
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -17,7 +22,7 @@
     refused before. `body` is what was received of the body. `buffered_bytes`
     counts the body from its announcement on, and in its place the response
     while it waits from `ready_at`, in ms of the agent's clock, for earlier
-    ones.
+    ones. `head_bytes` counts the head and the objects of the request.
     """
 
     connection: object
@@ -27,21 +32,20 @@
     response: responsebytes.Response | None = None
     ready_at: int = 0
     buffered_bytes: int = 0
+    head_bytes: int = 0
     expects_continue: bool = False
 
 
 class ExchangeQueue:
     """Exchanges whose responses are not written yet, oldest first."""
 
-    def __init__(self, count_buffered):
-        """Start empty.
+    def __init__(self, account):
+        """Start empty; count in a `calleraccounts.ConnectionAccount`.
 
-        `count_buffered` is called with the number of bytes that are in memory
-        from now on; negative if they were freed. `buffered_bytes` is their
-        sum in this queue.
+        `buffered_bytes` is the sum of the bodies in this queue.
         """
         self.buffered_bytes = 0
-        self._count_buffered = count_buffered
+        self._account = account
         self._exchanges = collections.deque()
 
     def __len__(self):
@@ -58,6 +62,8 @@
             connection, head, bodybuffer.BodyBuffer(announced_bytes)
         )
         self._exchanges.append(exchange)
+        exchange.head_bytes = cost_bytes(head)
+        self._account.adjust_small(exchange.head_bytes)
         self._count(exchange, announced_bytes or 0)
         return exchange
 
@@ -84,7 +90,7 @@
         exchange.body.take()
         exchange.ready_at = now
         exchange.response = response
-        size = len(response.body)
+        size = len(response.body) + len(response.fields.packed)
         self._count(exchange, size - exchange.buffered_bytes)
 
     def take_due(self):
@@ -105,9 +111,15 @@
         return exchanges
 
     def _free(self, exchange):
+        self._account.adjust_small(-exchange.head_bytes)
         self._count(exchange, -exchange.buffered_bytes)
 
     def _count(self, exchange, more_bytes):
         exchange.buffered_bytes += more_bytes
         self.buffered_bytes += more_bytes
-        self._count_buffered(more_bytes)
+        self._account.adjust(more_bytes)
+
+
+def cost_bytes(head):
+    """Return what a request without its body takes in memory."""
+    return EXCHANGE_BYTES + HEAD_COPIES * head.size
--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import itertools
+import socket
 import types
 
 from laburnumlatch.core import addresses
@@ -14,10 +15,17 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import routes
 from laburnumlatch.platform import callerconnection
+from laburnumlatch.platform import callerguard
 from laburnumlatch.platform import responsebytes
 from laburnumlatch.platform import wire
 
 BACKLOG = 1024
+# Connections that are accepted in one pass of the loop, before it is known
+# whether there are too many.
+ACCEPTED_AT_ONCE = 32
+# What the kernel takes of a connection that is not read. It is enough for
+# 64 Mbit/s over a round trip of 16 ms.
+RECEIVE_BUFFER_BYTES = 131_072
 # Time between two checks for callers who take too long.
 CHECK_INTERVAL_S = 0.5
 KEY_COUNT = 65_536
@@ -51,10 +59,12 @@
         self._settings = settings
         self._numbers = numbers
         self._connection_numbers = itertools.count(1)
-        self._connections = {}
         self._open_exchanges = {}
         self._server = None
         self.memory = memory
+        self.guard = callerguard.CallerGuard(
+            settings, memory, time_source, post
+        )
         self._limits = routes.Limits()
         self._check_timer = None
         self._is_stopping = False
@@ -83,9 +93,17 @@
         """Listen; raise OSError if the address cannot be bound."""
         ip_text, port = addresses.split_address(self._settings.caller_address)
         loop = asyncio.get_running_loop()
+        listener = socket.create_server(
+            (ip_text, port), backlog=BACKLOG, reuse_port=False
+        )
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self._server = await loop.create_server(
-            self._create_connection, ip_text, port, backlog=BACKLOG
+            self._create_connection, sock=listener, backlog=ACCEPTED_AT_ONCE
         )
+        # The loop accepts as many at once as it was told to queue.
+        listener.listen(BACKLOG)
         self._check_times()
 
     async def drain(self, ends_at):
@@ -94,8 +112,8 @@
         All requests that were read whole have ended. One that is being read is
         refused: it would be, too, when its body is whole.
         """
-        for connection in tuple(self._connections.values()):
-            connection.refuse_unread()
+        for connection in self.guard.connections:
+            connection.reader.refuse_unread()
         drain = draining.Drain(self._read_unsent, self._clock)
         await drain.wait(ends_at)
 
@@ -114,7 +132,7 @@
                 connections=len(unsent),
                 unsent_bytes=sum(unsent.values()),
             )
-        for connection in tuple(self._connections.values()):
+        for connection in self.guard.connections:
             connection.close()
 
     def begin_stop(self):
@@ -124,8 +142,9 @@
         without requests reads the next one first, as that may be in transit.
         """
         self._is_stopping = True
-        for connection in tuple(self._connections.values()):
-            connection.stop_reading()
+        for connection in self.guard.connections:
+            connection.reader.end_behind_open_requests()
+            connection.output.hand_over_early()
 
     def carry_out(self, message):
         """Write a response or a refusal, or put new limits in force."""
@@ -148,6 +167,7 @@
                 message.retry_after_ms,
             )
         exchange.connection.respond(exchange, response)
+        self.guard.relieve()
 
     def refusal(self, exchange, verdict, reason, retry_after_ms=0):
         """Return the response that reports why there is no other one."""
@@ -160,14 +180,6 @@
             _STATUSES[verdict], tuple(fields), f'{verdict}: {reason}\n'.encode()
         )
 
-    def add_connection(self, connection):
-        """Keep an open connection."""
-        self._connections[connection.number] = connection
-
-    def remove_connection(self, connection):
-        """Forget a closed connection."""
-        self._connections.pop(connection.number, None)
-
     def post_request(self, exchange, body, read_at):
         """Post a complete request, read at `read_at`, to the systems."""
         head = exchange.head
@@ -208,15 +220,16 @@
     def _read_unsent(self):
         """Return the bytes that callers are to take, by connection."""
         return {
-            number: connection.unsent_bytes
-            for number, connection in self._connections.items()
+            connection.number: connection.unsent_bytes
+            for connection in self.guard.connections
             if connection.unsent_bytes is not None
         }
 
     def _check_times(self):
         """Close connections whose callers take too long; check again later."""
-        for connection in tuple(self._connections.values()):
+        for connection in self.guard.connections:
             connection.check_time(self._limits)
+        self.guard.check()
         self._check_timer = asyncio.get_running_loop().call_later(
             CHECK_INTERVAL_S, self._check_times
         )
--- a/laburnumlatch/platform/calleroutput.py
+++ b/laburnumlatch/platform/calleroutput.py
@@ -1,5 +1,7 @@
 """Output of a caller's connection."""
 
+import collections
+
 from laburnumlatch.core import piecewriter
 from laburnumlatch.core import sockets
 
@@ -7,21 +9,26 @@
 class CallerOutput:
     """Writes responses as the caller takes them.
 
-    What has not been handed to the transport counts in memory.
+    A part counts in memory until its last byte has been handed to the
+    transport, and what a full transport holds counts, too.
     """
 
-    def __init__(self, transport, count_buffered, on_drained):
+    def __init__(self, transport, account, on_drained):
         """Write to `transport`.
 
-        `count_buffered` is called with the number of bytes that are held from
-        now on, negative if they are not any more; `on_drained` when the caller
-        has taken what had to wait for it.
+        Bytes count in `account`, a `calleraccounts.ConnectionAccount`;
+        `on_drained` is called when the caller has taken what had to wait.
         """
         self._transport = transport
-        self._count_buffered = count_buffered
+        sockets.limit_unsent(transport)
+        self._account = account
+        # Sizes of the parts that were not handed over whole.
+        self._part_sizes = collections.deque()
+        self._handed_bytes = 0
+        self._transport_bytes = 0
         self._on_drained = on_drained
         self._writer = piecewriter.PieceWriter(
-            transport, lambda size: count_buffered(-size), self._drained
+            transport, self._note_handed, self._drained
         )
         self._is_transport_full = False
         self._is_last_written = False
@@ -50,19 +57,27 @@
     def pause(self):
         """Hand over no more: the transport is full."""
         self._is_transport_full = True
+        self._count_transport(self._transport.get_write_buffer_size())
         self._writer.pause()
 
     def resume(self):
         """Go on handing over."""
         self._is_transport_full = False
+        self._count_transport(0)
         self._writer.resume()
 
     def write(self, *parts):
         """Write bytes-like objects in order."""
         for part in parts:
-            self._count_buffered(len(part))
+            if part:
+                self._part_sizes.append(len(part))
+                self._account.adjust(len(part))
         self._writer.write(*parts)
 
+    def hand_over_early(self):
+        """Let the kernel take all it can: it sends on if the process ends."""
+        sockets.limit_unsent(self._transport, 0)
+
     def end(self):
         """Send the end of the output behind what was written."""
         self._is_last_written = True
@@ -72,9 +87,26 @@
 
     def clear(self):
         """Drop what was not handed over: the connection is lost."""
-        self._count_buffered(-len(self._writer))
+        self._account.adjust(-sum(self._part_sizes))
+        self._part_sizes.clear()
+        self._handed_bytes = 0
+        self._count_transport(0)
         self._writer.clear()
 
+    def _note_handed(self, size):
+        """Count the parts as free that were handed over to their end."""
+        self._account.moved_bytes += size
+        self._handed_bytes += size
+        while self._part_sizes and self._handed_bytes >= self._part_sizes[0]:
+            part_bytes = self._part_sizes.popleft()
+            self._handed_bytes -= part_bytes
+            self._account.adjust(-part_bytes)
+
+    def _count_transport(self, size):
+        """Count what the transport holds."""
+        self._account.adjust(size - self._transport_bytes)
+        self._transport_bytes = size
+
     def _drained(self):
         if self._is_last_written:
             self.end()
--- a/laburnumlatch/platform/readahead.py
+++ b/laburnumlatch/platform/readahead.py
@@ -2,6 +2,11 @@
 
 import collections
 
+# From this many arrivals on, short ones are joined to the last one: each takes
+# some 300 bytes, however few it brought.
+MAX_ARRIVALS = 64
+SHORT_BYTES = 1024
+
 
 class ReadAhead:
     """Unparsed bytes, and when they arrived in ms of the agent's clock."""
@@ -18,8 +23,14 @@
 
     def append(self, chunk, now):
         """Add bytes that arrived at `now`."""
-        self._arrivals.append((memoryview(chunk), now))
         self._size += len(chunk)
+        if len(self._arrivals) >= MAX_ARRIVALS and len(chunk) < SHORT_BYTES:
+            last, arrived_at = self._arrivals[-1]
+            if len(last) < SHORT_BYTES:
+                joined = b''.join((last, chunk))
+                self._arrivals[-1] = (memoryview(joined), arrived_at)
+                return
+        self._arrivals.append((memoryview(chunk), now))
 
     def take(self, size):
         """Remove the oldest bytes, at most `size`, that arrived together.
--- a/laburnumlatch/platform/requestparser.py
+++ b/laburnumlatch/platform/requestparser.py
@@ -59,6 +59,11 @@
     keeps_alive: bool
     body_bytes: int | None = 0
 
+    @property
+    def size(self):
+        """About how many bytes the head has."""
+        return len(self.target) + len(self.fields.packed)
+
     def get(self, name, default=None):
         """Return the text of a field; of a repeated one, all joined by `,`."""
         return self.fields.get(name, default)
@@ -86,7 +91,8 @@
     def __init__(self, sink, max_head_bytes):
         """Start before the first request.
 
-        A head or a trailer longer than `max_head_bytes` is malformed.
+        A head or a trailer longer than `max_head_bytes` is malformed, and so
+        are as many empty lines before a request.
         """
         self.max_head_bytes = max_head_bytes
         self._sink = sink
@@ -110,6 +116,21 @@
         """Whether a head has been received in part."""
         return self._is_in_head
 
+    @property
+    def is_between_requests(self):
+        """Whether no request has begun behind the last complete one."""
+        return not (self._is_in_head or self._is_in_body)
+
+    @property
+    def held_bytes(self):
+        """Bytes of a head or trailer that was received in part."""
+        return 0 if self.is_between_requests else self._pending_bytes
+
+    @property
+    def has_known_length(self):
+        """Whether the rest of a body of known length is to come."""
+        return bool(self._body.missing_bytes)
+
     @property
     def piece_bytes(self):
         """How many bytes to pass to `feed` at a time."""
@@ -263,6 +284,8 @@
             self._fail(status, 'the head is too long')
         elif self._is_in_body:
             self._fail(http.HTTPStatus.BAD_REQUEST, 'the trailer is too long')
+        else:
+            self._fail(http.HTTPStatus.BAD_REQUEST, 'too many empty lines')
 
     def _fail(self, status, detail):
         self._fields = bytearray()
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -2,6 +2,7 @@
 
 from laburnumlatch.core import headfields
 from laburnumlatch.mesh import messages
+from laburnumlatch.platform import callerexchanges
 from laburnumlatch.platform import readahead
 from laburnumlatch.platform import requestparser
 from laburnumlatch.platform import responsebytes
@@ -11,6 +12,11 @@
 # request that has begun is read to its end.
 MAX_PIPELINED = 32
 MAX_BUFFERED_BYTES = 1_000_000
+# Bytes that are parsed in one pass of the loop, bodies of known length aside:
+# 16 KB of chunks of one byte take some 15 ms.
+PASS_BYTES = 16_384
+# When a request may come again that had no room here.
+RETRY_AFTER_MS = 500
 EXPECT_CONTINUE = '100-continue'
 
 # Stands for a head that could not be parsed.
@@ -29,6 +35,8 @@
     def __init__(self, front, connection, exchanges):
         """Read for `connection`, a `CallerConnection` of `front`.
 
+        What is not parsed yet counts in the account of the connection.
+
         New exchanges are added to `exchanges`, an `ExchangeQueue`.
         """
         self.is_ended = False
@@ -47,6 +55,19 @@
         """How many bytes were read ahead."""
         return len(self._read_ahead)
 
+    @property
+    def has_known_length(self):
+        """Whether the rest of a body of known length is to come."""
+        return self.receiving is not None and self._parser.has_known_length
+
+    @property
+    def is_between_requests(self):
+        """Whether nothing was read that could be part of a request.
+
+        Empty lines before a request are not.
+        """
+        return not self._read_ahead and self._parser.is_between_requests
+
     @property
     def head_ms(self):
         """How long ago a head that was read in part began; 0 without one."""
@@ -55,14 +76,27 @@
         return self._front.now - self._head_since
 
     def add(self, chunk):
-        """Take what the caller sent; `parse` reads it."""
+        """Take what the caller sent; `parse` reads it.
+
+        Without room for it, a request that begins is refused.
+        """
+        is_in_body = self.receiving is not None
+        if not (is_in_body or len(self._exchanges) or self._has_room(chunk)):
+            self._refuse(messages.Verdict.NOT_RUN, messages.Reason.NO_MEMORY)
+            return
         self._read_ahead.append(chunk, self._front.now)
 
     def parse(self):
-        """Parse what was read as far as the bounds allow."""
-        while self._read_ahead and self._may_parse():
+        """Parse what was read as far as the bounds allow.
+
+        Returns whether more is to be parsed in the next pass of the loop.
+        """
+        left_bytes = PASS_BYTES
+        while self._read_ahead and left_bytes > 0 and self._may_parse():
             size = self._parser.piece_bytes
             piece, read_at = self._read_ahead.take(size)
+            if not self.has_known_length:
+                left_bytes -= len(piece)
             self._read_at = read_at
             try:
                 self._parser.feed(piece)
@@ -71,6 +105,7 @@
                 if not self.is_ended:
                     self.reject(error.status, error)
         self._update_counts()
+        return bool(self._read_ahead) and self._may_parse()
 
     def end(self):
         """Read no more; what is in memory unparsed is dropped."""
@@ -109,7 +144,11 @@
         if self.is_ended:
             return
         size = head.body_bytes or 0
-        has_room = not size or self._front.memory.fits_request(size)
+        guard = self._front.guard
+        account = self._connection.account
+        has_room = guard.has_room(
+            account, callerexchanges.cost_bytes(head)
+        ) and (not size or guard.has_room_for_body(account, size))
         is_too_large = size > self._front.limits.body_bytes
         is_refused = is_too_large or not has_room
         exchange = self._exchanges.append(
@@ -134,7 +173,9 @@
         is_counted = size <= exchange.buffered_bytes
         if size > self._front.limits.body_bytes:
             self._refuse(messages.Verdict.TOO_LARGE, messages.Reason.TOO_LARGE)
-        elif is_counted or self._front.memory.fits_request(len(chunk)):
+        elif is_counted or self._front.guard.has_room_for_body(
+            self._connection.account, len(chunk)
+        ):
             self._exchanges.add_to_body(exchange, chunk)
         else:
             self._refuse(messages.Verdict.NOT_RUN, messages.Reason.NO_MEMORY)
@@ -162,14 +203,21 @@
             len(self._exchanges) < MAX_PIPELINED
             and self._exchanges.buffered_bytes <= MAX_BUFFERED_BYTES
             and self._front.memory.fits_request(0)
+            and self._connection.account.fits_small(0)
         )
 
+    def _has_room(self, chunk):
+        return self._front.guard.has_room(self._connection.account, len(chunk))
+
     def _refuse(self, verdict, reason):
-        """Refuse a request before its body is complete, and read no more."""
+        """Refuse a request before it is complete, and read no more."""
         exchange = self.receiving
-        self._answer_early(
-            exchange, self._front.refusal(exchange, verdict, reason)
-        )
+        if exchange is None:
+            exchange = self._exchanges.append(
+                self._connection, _UNREADABLE_HEAD
+            )
+        refusal = self._front.refusal(exchange, verdict, reason, RETRY_AFTER_MS)
+        self._answer_early(exchange, refusal)
 
     def _answer_early(self, exchange, response):
         self.end()
@@ -181,7 +229,9 @@
         if self.is_ended:
             self._read_ahead.clear()
         size = len(self._read_ahead)
-        self._front.memory.adjust(size - self._counted_bytes)
+        if not self.is_ended:
+            size += self._parser.held_bytes
+        self._connection.account.adjust_small(size - self._counted_bytes)
         self._counted_bytes = size
         if self.is_ended or not self._parser.is_in_head:
             self._head_since = None
--- a/laburnumlatch/platform/responsebytes.py
+++ b/laburnumlatch/platform/responsebytes.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from laburnumlatch.core import headfields
 from laburnumlatch.platform import fields
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -15,10 +16,10 @@
 
 @attrs.define(frozen=True)
 class Response:
-    """A complete response; `fields` are pairs of name and text."""
+    """A complete response; it takes fields as pairs of name and text."""
 
     status: int
-    fields: tuple[tuple[str, str], ...]
+    fields: headfields.HeadFields = attrs.field(converter=headfields.pack)
     body: bytes
 
 
--- a/tests/test_caller_pipelining.py
+++ b/tests/test_caller_pipelining.py
@@ -349,8 +349,8 @@
             await responder.wait_for(*paths(20))
             for path in paths(20):
                 responder.answer(path, LARGE_BODY)
-            connections = responder.front._connections
-            await fronts.wait_until(lambda: not connections)
+            guard = responder.front.guard
+            await fronts.wait_until(lambda: not guard.connections)
 
     async def test_expected_continue_comes_in_its_turn(self):
         """Guards against an interim response before an earlier response."""
