--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -31,6 +31,8 @@
     'request is its status.',
     'requests_refused_unplaced': 'Requests refused before their service was '
     'determined.',
+    'caller_connections_closed': 'Connections of callers closed because memory '
+    'or descriptors were short.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
     'requests_refused_early': 'Requests refused because the owner of their '
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from laburnumlatch.core import headfields
 from laburnumlatch.mesh import routes
 
 
@@ -85,7 +86,7 @@
     method: str
     target: str
     host: str
-    fields: tuple[tuple[str, str], ...]
+    fields: headfields.HeadFields = attrs.field(converter=headfields.pack)
     request_id: str
     key: int | None = None
     caller_service: str = ''
@@ -110,7 +111,7 @@
     """Complete response of a backend server."""
 
     status: int
-    fields: tuple[tuple[str, str], ...]
+    fields: headfields.HeadFields = attrs.field(converter=headfields.pack)
     body: bytes
 
 
@@ -142,6 +143,17 @@
     number: int
 
 
+@attrs.define(frozen=True)
+class CallersCut:
+    """Connections of callers were closed because of a bound.
+
+    `reason` is `memory` or `descriptors`.
+    """
+
+    reason: str
+    connections: int
+
+
 @attrs.define(frozen=True)
 class ForwardArrived:
     """Another agent forwarded a request to this host.
--- a/laburnumlatch/platform/requestparser.py
+++ b/laburnumlatch/platform/requestparser.py
@@ -16,6 +16,7 @@
 import httptools
 
 from laburnumlatch.core import errors
+from laburnumlatch.core import headfields
 from laburnumlatch.platform import bodyprogress
 from laburnumlatch.platform import fields as fields_module
 
@@ -47,18 +48,25 @@
 class RequestHead:
     """Head of a request as it was read.
 
-    `fields` are pairs of name and text. `keeps_alive` says whether the caller
-    may send another request on the connection.
+    `keeps_alive` says whether the caller may send another request on the
+    connection. `body_bytes` is the length that it announces, None if the body
+    comes in chunks.
     """
 
     method: str
     target: str
-    fields: tuple[tuple[str, str], ...]
+    fields: headfields.HeadFields
     keeps_alive: bool
+    body_bytes: int | None = 0
+
+    @property
+    def size(self):
+        """About how many bytes the head has."""
+        return len(self.target) + len(self.fields.packed)
 
     def get(self, name, default=None):
         """Return the text of a field; of a repeated one, all joined by `,`."""
-        return fields_module.get(self.fields, name, default)
+        return self.fields.get(name, default)
 
 
 class RequestSink(abc.ABC):
@@ -83,19 +91,21 @@
     def __init__(self, sink, max_head_bytes):
         """Start before the first request.
 
-        A head or a trailer longer than `max_head_bytes` is malformed.
+        A head or a trailer longer than `max_head_bytes` is malformed, and so
+        are as many empty lines before a request.
         """
         self.max_head_bytes = max_head_bytes
         self._sink = sink
         self._parser = httptools.HttpRequestParser(self)
         self._target = b''
-        self._fields = []
+        # Names and texts of the head, each with a line end behind it.
+        self._fields = bytearray()
         self._is_in_head = False
         self._is_in_body = False
         self._is_last = False
         self._is_ended = False
         self._problem = None
-        self._body = bodyprogress.announced(())
+        self._body = bodyprogress.announced(headfields.EMPTY)
         # Whether a head is parsed that stands for one with an offer.
         self._is_resuming = False
         # Bytes parsed since the request began, or since its last body bytes.
@@ -106,6 +116,21 @@
         """Whether a head has been received in part."""
         return self._is_in_head
 
+    @property
+    def is_between_requests(self):
+        """Whether no request has begun behind the last complete one."""
+        return not (self._is_in_head or self._is_in_body)
+
+    @property
+    def held_bytes(self):
+        """Bytes of a head or trailer that was received in part."""
+        return 0 if self.is_between_requests else self._pending_bytes
+
+    @property
+    def has_known_length(self):
+        """Whether the rest of a body of known length is to come."""
+        return bool(self._body.missing_bytes)
+
     @property
     def piece_bytes(self):
         """How many bytes to pass to `feed` at a time."""
@@ -137,7 +162,7 @@
         self._is_in_head = True
         self._pending_bytes = 0
         self._target = b''
-        self._fields = []
+        self._fields = bytearray()
 
     def on_url(self, part):
         """Append to the target; called by httptools."""
@@ -146,10 +171,7 @@
     def on_header(self, name, text):
         """Keep a field of the head, drop one of a trailer."""
         if self._is_in_head:
-            self._fields.append((
-                name.decode('latin-1'),
-                text.decode('latin-1').strip(' \t'),
-            ))
+            self._fields += b'%b\n%b\n' % (name, text.strip(b' \t'))
 
     def on_headers_complete(self):
         """Check the head and pass it on; called by httptools."""
@@ -160,18 +182,21 @@
             parser.should_keep_alive()
             and parser.get_http_version() != OLD_VERSION
         )
+        fields = headfields.HeadFields(self._fields[:-1].decode('latin-1'))
+        self._fields = bytearray()
+        self._body = bodyprogress.announced(fields)
         head = RequestHead(
             parser.get_method().decode('ascii'),
             self._target.decode('latin-1'),
-            tuple(self._fields),
+            fields,
             keeps_alive,
+            self._body.announced_bytes,
         )
         self._check(head)
         if self._problem is None:
             self._is_in_head = False
             self._is_in_body = True
             self._is_last = not keeps_alive
-            self._body = bodyprogress.announced(head.fields)
             self._sink.head_received(head)
 
     def on_body(self, chunk):
@@ -236,7 +261,10 @@
             self._fail(http.HTTPStatus.NOT_IMPLEMENTED, 'no tunnels here')
         if len(hosts) > 1 or not (hosts or is_old):
             self._fail(http.HTTPStatus.BAD_REQUEST, 'not one Host field')
-        if head.get('Transfer-Encoding', CHUNKED).lower() != CHUNKED:
+        encoding = CHUNKED
+        if head.body_bytes is None:
+            encoding = head.get('Transfer-Encoding')
+        if encoding.lower() != CHUNKED:
             self._fail(
                 http.HTTPStatus.NOT_IMPLEMENTED, 'unknown transfer encoding'
             )
@@ -256,7 +284,10 @@
             self._fail(status, 'the head is too long')
         elif self._is_in_body:
             self._fail(http.HTTPStatus.BAD_REQUEST, 'the trailer is too long')
+        else:
+            self._fail(http.HTTPStatus.BAD_REQUEST, 'too many empty lines')
 
     def _fail(self, status, detail):
+        self._fields = bytearray()
         if self._problem is None:
             self._problem = MalformedRequestError(status, detail)
