Keep sums of running requests, and look through them instead of all open ones

The slowdown, the parent of a nested call and the search for silent connections walked all open requests, and the forecast and the order called the policy for each queued one. Sums by route are kept for the running ones, at most as many as the server has slots; the queue is sorted as requests join, and its shares are asked for only while there is a queue.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -128,7 +128,9 @@
 
 def _place_in_queue(agent, request, now, work_ms):
     """Return the order of a request in the queue, and its expected wait."""
-    exceeded = fairness.exceeded_shares(agent, request)
+    exceeded = 0
+    if len(agent.queue) or agent.backend.running >= agent.backend.slots:
+        exceeded = fairness.exceeded_shares(agent, request)
     order = agent.wait_policy.rank(request, exceeded)
     wait_ms = forecast.expected_wait_ms(agent, order)
     if request.is_nested:
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -21,6 +21,7 @@
 from laburnumlatch.mesh import waiting
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import queue as queue_module
+from laburnumlatch.mesh.overload import running as running_module
 
 
 @attrs.define(kw_only=True)
@@ -84,7 +85,9 @@
     hosts: tables.Table = attrs.Factory(tables.Table)
     requests: tables.Table = attrs.Factory(tables.Table)
     queue: queue_module.RequestQueue = attrs.Factory(queue_module.RequestQueue)
-    running: tables.Table = attrs.Factory(tables.Table)
+    running: running_module.RunningRequests = attrs.Factory(
+        running_module.RunningRequests
+    )
     usages: fairness.Usages = attrs.Factory(fairness.Usages)
     floor_credit_ms: float = 0
     parked: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -6,6 +6,7 @@
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
 
@@ -34,7 +35,6 @@
     entry = agent.queue.pop(request.number)
     fairness.record_start(agent, request, entry.work_ms)
     request.state = rows.RequestState.RUNNING
-    agent.running.put(request.number, request)
     backend.running += 1
     decisions.record(
         agent,
@@ -72,6 +72,7 @@
     backend = agent.backend
     request.exchange += 1
     request.started_at = now
+    agent.running.put(request, worktimes.found_running_ms(agent, request))
     agent.outbox.post(
         messages.Send(
             number=request.number,
--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -31,15 +31,16 @@
 def find(agent, now):
     """Return the `Displaced` entries of the queue, at most once a tick.
 
-    The queue is looked through only after a request has joined it, and every
-    `INTERVAL_MS`.
+    The queue is looked through only after a request has joined it, and after
+    `INTERVAL_MS`. No tick is requested for that.
     """
     if not agent.wait_policy.displaces or not len(agent.queue):
         return []
-    is_due = agent.due('displacement', INTERVAL_MS, now)
-    if not is_due and not agent.queue.has_joined:
+    queue = agent.queue
+    if not queue.has_joined and now < queue.checked_at + INTERVAL_MS:
         return []
-    agent.queue.has_joined = False
+    queue.has_joined = False
+    queue.checked_at = now
     return _Pass(agent, now).run()
 
 
--- a/laburnumlatch/mesh/overload/fairness.py
+++ b/laburnumlatch/mesh/overload/fairness.py
@@ -41,12 +41,14 @@
     """Work started in the last seconds.
 
     `by_route` and `by_domain` have a `_Usage` by rank and name. `host_counts`
-    has the number of hosts of each domain, by which its share is weighted.
+    has the number of hosts of each domain, by which its share is weighted, as
+    it was at `counted_at`.
     """
 
     by_route: dict = attrs.Factory(_new_usages)
     by_domain: dict = attrs.Factory(_new_usages)
     host_counts: collections.Counter = attrs.Factory(collections.Counter)
+    counted_at: int = 0
 
 
 def record_start(agent, request, work_ms):
@@ -71,7 +73,8 @@
     if request.is_nested:
         return 0
     usages = agent.usages
-    if agent.due('fairness', COUNT_INTERVAL_MS, agent.now):
+    if agent.now >= usages.counted_at + COUNT_INTERVAL_MS:
+        usages.counted_at = agent.now
         usages.host_counts = collections.Counter(
             host.record.domain for host in agent.hosts
         )
--- a/laburnumlatch/mesh/overload/forecast.py
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -14,8 +14,7 @@
     """
     slowdown = worktimes.slowdown(agent)
     lefts_ms = [
-        worktimes.found_running_ms(agent, request) * slowdown / 2
-        for request in agent.running
+        usual_ms * slowdown / 2 for usual_ms in agent.running.usual_times_ms()
     ]
     free_slots = max(0, agent.backend.slots - len(lefts_ms))
     lefts_ms.extend(itertools.repeat(0, free_slots))
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -28,12 +28,14 @@
 class RequestQueue:
     """Requests by number, sorted by the order in which they start.
 
-    `has_joined` is set when a request joins, until it is reset from outside.
+    `has_joined` is set when a request joins, until `displacement` has looked
+    through the queue, last at `checked_at`, in ms of the agent's clock.
     """
 
     def __init__(self):
         """Start empty."""
         self.has_joined = False
+        self.checked_at = 0
         self._entries = {}
         self._keys = []
         self._works_ms = []
--- a/laburnumlatch/mesh/silence.py
+++ b/laburnumlatch/mesh/silence.py
@@ -9,7 +9,6 @@
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
-from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import worktimes
 
 CHECK_INTERVAL_MS = 100
@@ -33,7 +32,7 @@
     if not agent.due('silence', CHECK_INTERVAL_MS, now):
         return
     late_requests = [
-        request for request in agent.requests if _is_late(agent, request, now)
+        request for request in agent.running if _is_late(agent, request, now)
     ]
     oldest = min(late_requests, key=_start_time, default=None)
     if oldest is not None and _is_stalled(agent, oldest, now):
@@ -48,7 +47,7 @@
     # A retry ran on a new connection, so it alone is enough evidence that
     # older requests of its route are stuck.
     count = MIN_LATER_FINISHED if finished.is_retry else 1
-    for request in agent.requests:
+    for request in agent.running:
         is_older = request.started_at < finished.started_at
         if not is_older or request.route != finished.route:
             continue
@@ -60,12 +59,10 @@
 
 
 def _is_late(agent, request, now):
-    """Return whether a request is overdue and has time left for a retry.
+    """Return whether a running request is overdue and has time for a retry.
 
     None is before the usual time of its route is known.
     """
-    if request.state != rows.RequestState.RUNNING:
-        return False
     if not request.is_safe or request.is_retry:
         return False
     if not worktimes.is_known(agent, request.route):
@@ -79,10 +76,7 @@
 
 def _is_stalled(agent, oldest, now):
     """Return whether nothing has finished for long, and no retry is running."""
-    is_retry_running = any(
-        request.state == rows.RequestState.RUNNING and request.is_retry
-        for request in agent.requests
-    )
+    is_retry_running = any(request.is_retry for request in agent.running)
     usual_ms = worktimes.usual_work_ms(agent, oldest.route)
     silent_ms = now - agent.backend.last_response
     return not is_retry_running and silent_ms >= LATE_WORK_TIMES * usual_ms
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -81,17 +81,12 @@
     backend = agent.backend
     if backend is None:
         return 1
-    running = [
-        request
-        for request in agent.running
-        if route is None or request.route == route
-    ]
-    if not running or len(running) < backend.slots * MIN_BUSY_SLOT_RATIO:
+    min_count = max(1, backend.slots * MIN_BUSY_SLOT_RATIO)
+    totals = agent.running.totals_of(route)
+    if totals.count < min_count:
         # A few long requests are no evidence of a slow server.
         return 1
-    elapsed_ms = sum(agent.now - request.started_at for request in running)
-    usual_ms = sum(found_running_ms(agent, request) for request in running)
-    return max(1, elapsed_ms / usual_ms)
+    return max(1, totals.slowdown(agent.now))
 
 
 def record_work_time(agent, request, now, *, has_failed):
