--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -7,6 +7,7 @@
 from laburnumlatch.mesh import regions
 from laburnumlatch.mesh import retrybudget
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.evacuation import domains
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
@@ -53,7 +54,6 @@
     entry = agent.queue.pop(request.number)
     fairness.record_start(agent, request, entry.work_ms)
     request.state = rows.RequestState.RUNNING
-    agent.running.put(request.number, request)
     backend.running += 1
     decisions.record(
         agent,
@@ -96,6 +96,7 @@
     request.exchange += 1
     request.started_at = now
     pace.count_send(agent, now)
+    agent.running.put(request, worktimes.found_running_ms(agent, request))
     agent.outbox.post(
         messages.Send(
             number=request.number,
--- a/laburnumlatch/mesh/overload/forecast.py
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -16,8 +16,7 @@
     """
     slowdown = worktimes.slowdown(agent)
     lefts_ms = [
-        worktimes.found_running_ms(agent, request) * slowdown / 2
-        for request in agent.running
+        usual_ms * slowdown / 2 for usual_ms in agent.running.usual_times_ms()
     ]
     slots = serverload.usable_slots(agent.backend)
     free_slots = max(0, slots - len(lefts_ms))
