Define rows and messages without generated comparison code

attrs compiles __eq__, __hash__ and __repr__ of each class at import: for 141 classes 105 of 284 ms of processor time. records.define leaves only __init__ to attrs; the others are shared functions with the same results. Classes with an order, and those that the linter has to know as attrs classes, keep attrs.define. Ruled out: slots=False (404 us a class, 513 with slots; repr and eq off: 195).

--- a/laburnumlatch/core/linebound.py
+++ b/laburnumlatch/core/linebound.py
@@ -1,8 +1,7 @@
 """Rate limits for the log lines of each part of the program."""
 
-import attrs
-
 from laburnumlatch.core import clock
+from laburnumlatch.core import records
 
 # Enough for one short line per request at the load of one backend server.
 ROUTINE_LINES_PER_S = 150
@@ -14,7 +13,7 @@
 REPORT_MS = 1000
 
 
-@attrs.define
+@records.define
 class TokenBucket:
     """The lines that one part may still write.
 
--- a/laburnumlatch/core/storemsg.py
+++ b/laburnumlatch/core/storemsg.py
@@ -1,12 +1,12 @@
 """Messages between systems and the front end to the store."""
 
-import attrs
+from laburnumlatch.core import records
 
 # Calls, from systems to the front end. The response to a call bears its
 # `ticket`, so that the system can match them.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StorePut:
     """Write a row if it still has `expected_version`; 0 means no row.
 
@@ -20,7 +20,7 @@
     guards: tuple[tuple[str, int], ...] = ()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreRead:
     """Read all rows of a table, given as a key prefix that ends in a slash."""
 
@@ -28,7 +28,7 @@
     table: str
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreWatch:
     """Wait up to `wait_ms` for rows of a table newer than version `after`."""
 
@@ -41,7 +41,7 @@
 # Responses, from the front end to systems, and the rows in them.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreRow:
     """A row of the table service."""
 
@@ -50,7 +50,7 @@
     body: bytes
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Changes:
     """Rows of a table, complete up to `version` of the store.
 
@@ -62,7 +62,7 @@
     removed: tuple[str, ...] = ()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreChanges:
     """Response to `StoreRead` and `StoreWatch`; `removed` as in `Changes`."""
 
@@ -72,7 +72,7 @@
     removed: tuple[str, ...] = ()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreWritten:
     """Response to a `StorePut` that took effect; the row has `version`."""
 
@@ -80,14 +80,14 @@
     version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreRefused:
     """Response to a `StorePut` that wrote nothing, as a version differed."""
 
     ticket: str
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class StoreFailed:
     """The call failed, or the store did not respond.
 
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -3,15 +3,14 @@
 Durations are in ms. `call_number` and `ticket` pair a response with its call.
 """
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 
 # A grant without a response for this time counts as unanswered.
 GRANT_TIMEOUT_MS = 600
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class BackendAnnounced:
     """The local backend server announced itself.
 
@@ -29,7 +28,7 @@
     cold_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class BackendLeft:
     """The backend server with this identity announced that it is leaving.
 
@@ -44,7 +43,7 @@
     born: int | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class AnnouncementAnswered:
     """The response to the backend server: whether its call is accepted."""
 
@@ -52,7 +51,7 @@
     is_accepted: bool
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class GiveGrant:
     """Grant a range of keys to the backend server, or renew the grant.
 
@@ -71,7 +70,7 @@
     is_renewal: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class GrantAnswered:
     """Whether a grant was accepted; None if no response came."""
 
@@ -79,7 +78,7 @@
     is_accepted: bool | None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class TakeBack:
     """Release a range; the response comes when running work on it has ended."""
 
@@ -90,7 +89,7 @@
     fence: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class TakenBack:
     """The response to a release; `is_answered` is False if none came.
 
--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import ranking
 
@@ -39,7 +40,7 @@
 MIN_WANTED_RATIO = 0.1
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Candidate:
     """A host that may own keys; `capacity` is in requests per ms."""
 
@@ -48,7 +49,7 @@
     capacity: float
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Move:
     """A move of keys `start` to `end`, both inclusive, to host `host_id`."""
 
@@ -77,7 +78,7 @@
 _OUTCOME_RANKS = (Outcome.EVEN, Outcome.UNCLEAR, Outcome.DONE, Outcome.STUCK)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SearchResult:
     """The moves that a search has chosen, and the highest load after them.
 
--- a/laburnumlatch/mesh/bodyparts.py
+++ b/laburnumlatch/mesh/bodyparts.py
@@ -6,15 +6,14 @@
 
 import collections
 
-import attrs
-
 from laburnumlatch.core import bodybuffer
 from laburnumlatch.core import errors
+from laburnumlatch.core import records
 
 PART_BYTES = 65_536
 
 
-@attrs.define
+@records.define
 class _OutgoingBody:
     """What is left of a body; with `is_stored` it is not compressed."""
 
@@ -84,7 +83,7 @@
             self._memory.release(outgoing.size)
 
 
-@attrs.define
+@records.define
 class _IncomingBody:
     """A body that was received in part, and the message that announced it."""
 
--- a/laburnumlatch/mesh/configmsg.py
+++ b/laburnumlatch/mesh/configmsg.py
@@ -1,19 +1,18 @@
 """Messages about the configuration and the settings of the process."""
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings as settings_module
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ReadConfiguration:
     """Read the configuration that an operator accepted last."""
 
     ticket: str
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class WatchConfiguration:
     """Wait up to `wait_ms` for a configuration newer than version `after`."""
 
@@ -22,7 +21,7 @@
     wait_ms: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ConfigurationRead:
     """Accepted configurations, oldest first; empty if nothing has changed.
 
@@ -40,14 +39,14 @@
     is_complete: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class LimitsChanged:
     """New limits for the requests of callers are in force."""
 
     limits: routes.Limits
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SettingsChanged:
     """The settings file was read again."""
 
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -4,12 +4,11 @@
 role. Messages are sent as lists, so the order of the fields must not change.
 """
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Renew:
     """A host requests a renewal of its lease and reports its state.
 
@@ -46,7 +45,7 @@
     lease_issued_at: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Lease:
     """The planner's response to a renewal: the host's lease.
 
@@ -72,7 +71,7 @@
     is_provisional: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class PlannerIs:
     """Announces the holder of the planner role, as known to the sender."""
 
@@ -81,7 +80,7 @@
     term: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HandedOver:
     """The former owner, at `sender`, has released a piece of the plan.
 
@@ -97,7 +96,7 @@
     sender: str
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HandoverReceived:
     """The new owner acknowledges a `HandedOver`."""
 
@@ -106,7 +105,7 @@
     fence: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendDatagram:
     """Send `message` to the agent at `address`; it may get lost."""
 
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 
 # The keys of a lost host are reassigned after this time. A lost planner must
@@ -27,7 +28,7 @@
     return int(LEASE_MS * LATEST_END_RATIO)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class RoleRecord:
     """The row of the store that names the holder of the planner role.
 
@@ -40,7 +41,7 @@
     term: int
 
 
-@attrs.define
+@records.define
 class Role:
     """The planner role as this agent knows it.
 
@@ -130,7 +131,7 @@
         self.life_since = sequence
 
 
-@attrs.define
+@records.define
 class LeaseHolder:
     """A host that renews its lease, as the planner knows it.
 
@@ -168,7 +169,7 @@
     reports: list = attrs.Factory(list)
 
 
-@attrs.define
+@records.define
 class PlanRow:
     """The newest plan of a service that this agent knows.
 
@@ -179,7 +180,7 @@
     row_version: int
 
 
-@attrs.define
+@records.define
 class PlanWrite:
     """A plan that the planner is writing to the store.
 
@@ -203,7 +204,7 @@
     RELEASING = 'releasing'
 
 
-@attrs.define
+@records.define
 class Holding:
     """A range of keys granted to the local backend server.
 
@@ -246,7 +247,7 @@
         return self.start <= key <= self.end
 
 
-@attrs.define
+@records.define
 class Handover:
     """The handover token of a released range, kept until `expires`.
 
@@ -258,7 +259,7 @@
     is_acknowledged: bool = False
 
 
-@attrs.define
+@records.define
 class LoadReport:
     """Load since the last renewal, for the planner.
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -9,8 +9,7 @@
 
 import enum
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import routes
 
 
@@ -70,7 +69,7 @@
     SENT = 'sent'
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Head:
     """Head of a request: all but its body.
 
@@ -89,7 +88,7 @@
     caller_service: str = ''
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ServerLoadReport:
     """Load of a backend server as it reports it with a response.
 
@@ -103,7 +102,7 @@
     slowness: float | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Answer:
     """Complete response of a backend server."""
 
@@ -115,7 +114,7 @@
 # Requests: from front ends to systems.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class RequestArrived:
     """A complete request of a caller on this host was received.
 
@@ -133,14 +132,14 @@
     connection: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CallerLeft:
     """The caller closed its connection before the response was written."""
 
     number: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ForwardArrived:
     """Another agent forwarded a request to this host.
 
@@ -156,14 +155,14 @@
     waited_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ForwardCanceled:
     """The agent that forwarded the request no longer waits for a response."""
 
     number: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ExchangeEnded:
     """A complete response came from the backend server or another agent.
 
@@ -185,7 +184,7 @@
     server_load: ServerLoadReport | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ExchangeFailed:
     """An exchange ended without a response.
 
@@ -212,7 +211,7 @@
 # Requests: from systems to front ends.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Deliver:
     """Write the response to the caller."""
 
@@ -220,7 +219,7 @@
     answer: Answer
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Refuse:
     """Report to the caller that there is no response, and why."""
 
@@ -230,7 +229,7 @@
     retry_after_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Forward:
     """A request that is forwarded to the agent of the host that serves it.
 
@@ -257,7 +256,7 @@
     origin_left_ms: int | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendForward:
     """Send `forward` to the agent of a host."""
 
@@ -266,7 +265,7 @@
     forward: Forward
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CancelForward:
     """Cancel a forwarded request at the agent of a host."""
 
@@ -275,7 +274,7 @@
     exchange: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ReplyAnswer:
     """Return the response to the agent that forwarded the request.
 
@@ -293,7 +292,7 @@
     waits: tuple[int, ...] = ()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ReplyRefusal:
     """Report to the agent that forwarded the request why no response comes.
 
@@ -309,7 +308,7 @@
     waits: tuple[int, ...] = ()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Send:
     """Send the request to the local backend server.
 
@@ -331,7 +330,7 @@
     is_safe: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CancelSend:
     """Abort an exchange with the backend server by closing its connection."""
 
@@ -342,12 +341,12 @@
 # The end of the process.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Stopping:
     """The process received the signal to stop."""
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Stopped:
     """All requests have ended, or the grace period is over: end the process.
 
--- a/laburnumlatch/mesh/peermsg.py
+++ b/laburnumlatch/mesh/peermsg.py
@@ -5,12 +5,11 @@
 agent gave to the request and to this attempt.
 """
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import messages
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Hello:
     """First frame of each side of a connection; identifies the sender.
 
@@ -23,7 +22,7 @@
     reads_parts: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Ask:
     """A request for the receiver's backend server.
 
@@ -37,7 +36,7 @@
     body_bytes: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Cancel:
     """Cancels an `Ask`: its response is no longer needed."""
 
@@ -45,7 +44,7 @@
     exchange: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Answered:
     """The response to an `Ask`; times as in `messages.ReplyAnswer`.
 
@@ -61,7 +60,7 @@
     body_bytes: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Refused:
     """Reports that an `Ask` ended without a response, with the reason."""
 
@@ -73,17 +72,17 @@
     wait_ms: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Ping:
     """Requests a `Pong`, to check a connection that has gone silent."""
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Pong:
     """Response to a `Ping`."""
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Plan:
     """A plan that the sender, as planner, has written to the store.
 
@@ -95,7 +94,7 @@
     row_version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class PlanChange:
     """The difference between a new plan of the sender and the one before it.
 
@@ -107,7 +106,7 @@
     row_version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class BodyPart:
     """The next part of the body that an `Ask` or `Answered` announced."""
 
--- a/laburnumlatch/mesh/planmsg.py
+++ b/laburnumlatch/mesh/planmsg.py
@@ -4,13 +4,12 @@
 agents; `PlanTold` and `PlanChangeTold` are what a receiving agent gets.
 """
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import planchanges
 from laburnumlatch.mesh import ranges
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendPlan:
     """Request to send a written plan to the agent of a host.
 
@@ -23,7 +22,7 @@
     row_version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendPlanChange:
     """Request to send the difference from the previous plan to an agent.
 
@@ -36,7 +35,7 @@
     row_version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class PlanTold:
     """A plan received from the planner, written as `row_version` of its row."""
 
@@ -44,7 +43,7 @@
     row_version: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class PlanChangeTold:
     """The difference from the previous plan, received from the planner.
 
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -10,6 +10,7 @@
 import attrs
 
 from laburnumlatch.core import errors
+from laburnumlatch.core import records
 
 KEY_COUNT = 65_536
 # Requests are counted and load is moved in buckets of adjacent keys.
@@ -17,7 +18,7 @@
 _start_key = operator.attrgetter('start')
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Life:
     """One run of a backend server: its identity and when it started.
 
@@ -29,7 +30,7 @@
     born: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Piece:
     """A range of keys with one owner: `start` to `end`, both inclusive.
 
@@ -56,7 +57,7 @@
         return self.start <= key <= self.end
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Plan:
     """The owners of all keys of a service, stored as one row of the store.
 
--- a/laburnumlatch/mesh/retrybudget.py
+++ b/laburnumlatch/mesh/retrybudget.py
@@ -4,9 +4,8 @@
 allowance, so that the sum over all agents stays within the bound.
 """
 
-import attrs
-
 from laburnumlatch.core import clock
+from laburnumlatch.core import records
 from laburnumlatch.mesh import members
 
 # An agent spends only this share of the bound. The rest is left for nested
@@ -15,7 +14,7 @@
 OWN_RETRY_SHARE = 0.6
 
 
-@attrs.define
+@records.define
 class SecondCounts:
     """Requests and retries of one service within one second."""
 
@@ -23,7 +22,7 @@
     retries: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Budget:
     """Retries that this agent sent within the window, and may send in all."""
 
--- a/laburnumlatch/mesh/routes.py
+++ b/laburnumlatch/mesh/routes.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from laburnumlatch.core import records
+
 DEFAULT_PRIORITY = 1
 
 
@@ -21,7 +23,7 @@
     UPLOAD = 'upload'
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Share:
     """A service that receives requests of a route in proportion to `weight`."""
 
@@ -29,7 +31,7 @@
     weight: float
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Route:
     """Selects services for requests by host name and path prefix.
 
@@ -51,7 +53,7 @@
     regions: frozenset[str] = frozenset()
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Service:
     """The configuration of a service.
 
@@ -71,7 +73,7 @@
     cold_per_s: float = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Limits:
     """Limits on what callers send and on how long they may stay idle."""
 
@@ -81,7 +83,7 @@
     idle_timeout_ms: int = 15_000
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Configuration:
     """One accepted version; a higher version replaces a lower one.
 
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -6,6 +6,7 @@
 import attrs
 from hdrh import histogram
 
+from laburnumlatch.core import records
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
@@ -38,7 +39,7 @@
     RUNNING = 'running'
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HostRecord:
     """Description of a host, as its own agent writes it to the store.
 
@@ -60,7 +61,7 @@
     link_mbps: float = 0
 
 
-@attrs.define
+@records.define
 class RoundTrip:
     """Network time to a host and back for requests of one route.
 
@@ -72,7 +73,7 @@
     updated_at: int = 0
 
 
-@attrs.define
+@records.define
 class Host:
     """A host as this agent knows it.
 
@@ -106,7 +107,7 @@
         return self.record.host_id
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Evacuation:
     """An operator's request to send nothing to the servers of a domain.
 
@@ -117,7 +118,7 @@
     begun_at: int
 
 
-@attrs.define
+@records.define
 class ServerLoad:
     """Load that the local backend server reports with its responses.
 
@@ -133,7 +134,7 @@
     reported_at: int = 0
 
 
-@attrs.define
+@records.define
 class Backend:
     """The backend server on the host of this agent.
 
@@ -167,7 +168,7 @@
     load: ServerLoad = attrs.Factory(ServerLoad)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Departure:
     """A run of a backend server that has announced that it leaves.
 
@@ -178,7 +179,7 @@
     closing_at: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class NamedDeparture:
     """Announcement of a backend server that it leaves, without its start.
 
@@ -191,7 +192,7 @@
     closing_at: int
 
 
-@attrs.define
+@records.define
 class DepartureLog:
     """Row of the store with the departures on this host.
 
@@ -208,7 +209,7 @@
     retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
 
 
-@attrs.define
+@records.define
 class WorkTime:
     """Mean work time of a route at the local backend server.
 
@@ -220,7 +221,7 @@
     count: int = 0
 
 
-@attrs.define
+@records.define
 class Counter:
     """A counter metric, counted from the start of the agent."""
 
@@ -229,7 +230,7 @@
     total: int = 0
 
 
-@attrs.define
+@records.define
 class Latency:
     """Histogram of the time until callers got their responses, in ms.
 
@@ -241,7 +242,7 @@
     recorded: histogram.HdrHistogram
 
 
-@attrs.define
+@records.define
 class CallerConnection:
     """A caller's connection with open requests: their numbers, in order."""
 
@@ -249,7 +250,7 @@
     open_numbers: list[int] = attrs.Factory(list)
 
 
-@attrs.define
+@records.define
 class Request:
     """One request in this agent, from its arrival to its outcome.
 
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -2,8 +2,10 @@
 
 import attrs
 
+from laburnumlatch.core import records
 
-@attrs.define(frozen=True)
+
+@records.define(frozen=True)
 class Bounds:
     """Limits that the deployment guarantees; durations are in ms.
 
@@ -39,7 +41,7 @@
     cold_slack: int = 8
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Settings:
     """Local settings of an agent; the rest of its configuration is stored.
 
--- a/laburnumlatch/platform/servercall.py
+++ b/laburnumlatch/platform/servercall.py
@@ -4,10 +4,11 @@
 
 import attrs
 
+from laburnumlatch.core import records
 from laburnumlatch.platform import fields as fields_module
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ServerResponse:
     """Complete response to a call; `fields` are pairs of name and text.
 
@@ -25,7 +26,7 @@
         return fields_module.get(self.fields, name, default)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CallFailure:
     """A call without a complete response.
 
