--- a/laburnumlatch/platform/__main__.py
+++ b/laburnumlatch/platform/__main__.py
@@ -5,9 +5,7 @@
 
 import sys
 
-from laburnumlatch.core import errors
-from laburnumlatch.platform import bootfile
-from laburnumlatch.platform import runner
+from laburnumlatch.platform import bytecode
 
 EXIT_BAD_SETTINGS = 1
 
@@ -17,6 +15,12 @@
 
     Invalid settings are reported on standard error.
     """
+    bytecode.install()
+    # Imported here, as only later imports use the bytecode.
+    from laburnumlatch.core import errors
+    from laburnumlatch.platform import bootfile
+    from laburnumlatch.platform import runner
+
     try:
         runner.run(bootfile.path())
     except errors.InvalidInputError as error:
--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -13,9 +13,6 @@
 from laburnumlatch.core import frontends
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
-from laburnumlatch.mesh import exposition
-from laburnumlatch.operators import report
-from laburnumlatch.operators import state
 from laburnumlatch.platform import announcements
 
 STATUS_OK = 200
@@ -53,6 +50,8 @@
 
     def get(self):
         """Write all metrics."""
+        from laburnumlatch.mesh import exposition
+
         self.set_header('Content-Type', exposition.CONTENT_TYPE)
         self.finish(exposition.as_text(self._agent, self._count_left_out))
 
@@ -66,6 +65,9 @@
 
     def get(self, *service_and_key):
         """Write the agent's state, or the owner of a key, as JSON."""
+        from laburnumlatch.operators import report
+        from laburnumlatch.operators import state
+
         agent_state = state.from_agent(self._agent)
         try:
             explanation = (
