Sum only the busy buckets when the planner weighs pieces

An idle planner visited all buckets of all pieces twice in each round, five times a second; most buckets have no rate. Idle agents of a deployment of two, user instructions by perf stat: the planner 56.7 M a second before, 17.2 after, the other one 12.1 and 13.7 (x86_64, shared).

--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -101,9 +101,14 @@
     """Return the load of a piece in requests per second, from bucket rates."""
     first = bucket_of(piece.start)
     last = bucket_of(piece.end)
-    return sum(
-        rates.get(bucket, 0) + IDLE_RATE for bucket in range(first, last + 1)
-    )
+    size = last + 1 - first
+    if len(rates) < size:
+        # Most buckets have no rate, and the planner asks several times a
+        # second for all of them.
+        busy = sum(rates[bucket] for bucket in rates if first <= bucket <= last)
+    else:
+        busy = sum(rates.get(bucket, 0) for bucket in range(first, last + 1))
+    return busy + size * IDLE_RATE
 
 
 def relative_load_by_host(pieces, rates, candidates):
--- a/tests/test_mesh_balancing.py
+++ b/tests/test_mesh_balancing.py
@@ -279,3 +279,20 @@
             for piece in fleet.agents['b0'].plan_of('bokun').pieces
         }
         assert owners == set(fleet.backends)
+
+
+class TestLoadOfPieces:
+    """Guards against a load that depends on how many buckets are busy."""
+
+    def test_is_the_sum_over_its_buckets(self):
+        size = ranges.KEYS_PER_BUCKET
+        life = ranges.Life('b1', 1)
+        piece = ranges.Piece(10 * size, 20 * size - 1, 'b1', life, 1)
+        few = {9: 5.0, 10: 1.0, 19: 2.0, 20: 7.0}
+        many = dict.fromkeys(range(100), 0.5)
+        for rates in ({}, few, many):
+            expected = sum(
+                rates.get(bucket, 0) + balancing.IDLE_RATE
+                for bucket in range(10, 20)
+            )
+            assert balancing.load_of(piece, rates) == pytest.approx(expected)
