Search no garbage among imported modules

Imports create objects that stay, and each collection went through them, while they were imported and later.

--- a/laburnumlatch/platform/__main__.py
+++ b/laburnumlatch/platform/__main__.py
@@ -3,6 +3,7 @@
 Takes no arguments: everything comes from the platform's settings file.
 """
 
+import gc
 import sys
 
 from laburnumlatch.platform import bytecode
@@ -15,12 +16,17 @@
 
     Invalid settings are reported on standard error.
     """
+    # Nearly all that imports create stays, so that searches for garbage among
+    # it would be in vain, now and later.
+    gc.disable()
     bytecode.install()
     # Imported here, as only later imports use the bytecode.
     from laburnumlatch.core import errors
     from laburnumlatch.platform import bootfile
     from laburnumlatch.platform import runner
 
+    gc.freeze()
+    gc.enable()
     try:
         runner.run(bootfile.path())
     except errors.InvalidInputError as error:
