Serve announcements, readiness and metrics without tornado's web framework

The paths of the control addresses are fixed, so a function for each responds on tornado's HTTP server: no request handler, coroutine and future per call. Statuses, bodies and kept connections are as before; 405 for a wrong method.

--- a/laburnumlatch/platform/controlfront.py
+++ b/laburnumlatch/platform/controlfront.py
@@ -1,11 +1,13 @@
 """HTTP servers for readiness, metrics and the backend server's calls."""
 
-import asyncio
+import functools
+import http
 import json
+from urllib import parse as urlparse
 
 from tornado import httpserver
+from tornado import httputil
 from tornado import netutil
-from tornado import web
 
 from laburnumlatch.core import addresses
 from laburnumlatch.core import clock
@@ -17,103 +19,21 @@
 
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_WRONG_METHOD = 405
 STATUS_UNAVAILABLE = 503
+READY_PATH = '/ready'
+RPC_PATH = '/rpc'
+METRICS_PATH = '/metrics'
+STATUS_PATH = '/status'
+EXPLAIN_PATH = '/explain/'
+JSON_TYPE = 'application/json'
 MAX_BODY_BYTES = 65_536
 BACKLOG = 256
 
 _log = logs.logger('control')
 
 
-class ReadyHandler(web.RequestHandler):
-    """`GET /ready`: whether callers on this host may send new requests."""
-
-    def initialize(self, agent):
-        """Set the `AgentState` to report on."""
-        self._agent = agent
-
-    def get(self):
-        """Respond with 200 or 503, without a body."""
-        is_ready = self._agent.is_ready
-        self.set_status(STATUS_OK if is_ready else STATUS_UNAVAILABLE)
-
-
-class MetricsHandler(web.RequestHandler):
-    """`GET /metrics`: counters and latencies in Prometheus's text format."""
-
-    def initialize(self, agent, count_left_out):
-        """Set the `AgentState` to report on.
-
-        `count_left_out` returns the number of log lines left out so far.
-        """
-        self._agent = agent
-        self._count_left_out = count_left_out
-
-    def get(self):
-        """Write all metrics."""
-        from laburnumlatch.mesh import exposition
-
-        self.set_header('Content-Type', exposition.CONTENT_TYPE)
-        self.finish(exposition.as_text(self._agent, self._count_left_out))
-
-
-class StatusHandler(web.RequestHandler):
-    """`GET /status` and `GET /explain/SERVICE/KEY`: the agent's view."""
-
-    def initialize(self, agent):
-        """Set the `AgentState` to report on."""
-        self._agent = agent
-
-    def get(self, *service_and_key):
-        """Write the agent's state, or the owner of a key, as JSON."""
-        from laburnumlatch.operators import report
-        from laburnumlatch.operators import state
-
-        agent_state = state.from_agent(self._agent)
-        try:
-            explanation = (
-                report.explain(agent_state, *service_and_key)
-                if service_and_key
-                else None
-            )
-        except errors.InvalidInputError as error:
-            self.set_status(STATUS_BAD_REQUEST)
-            self.finish({'error': str(error)})
-            return
-        self.finish(explanation or report.status(agent_state))
-
-
-class RpcHandler(web.RequestHandler):
-    """`POST /rpc`: announcements and deregistration of the backend server."""
-
-    def initialize(self, front):
-        """Set the `ControlFront` that receives decoded calls."""
-        self._front = front
-
-    async def post(self):
-        """Decode the call; respond when the systems have decided on it."""
-        call = self.get_query_argument('call', '')
-        server_id = self.get_query_argument('of', '')
-        try:
-            build_message = announcements.decode(
-                call, server_id, self.request.body, self._front.time_of_day()
-            )
-        except errors.InvalidInputError as error:
-            _log.warning(
-                'announcement-unreadable',
-                call=call,
-                server=server_id,
-                detail=error,
-            )
-            self.set_status(STATUS_BAD_REQUEST)
-            return
-        is_accepted = await self._front.announce(build_message)
-        if not is_accepted:
-            self.set_status(STATUS_BAD_REQUEST)
-            return
-        self.set_header('Content-Type', 'application/json')
-        self.finish(json.dumps({}))
-
-
 class ControlFront(frontends.FrontEnd):
     """Serves readiness, backend server calls and metrics, each on its port.
 
@@ -139,24 +59,19 @@
     async def start(self):
         """Listen; raise OSError if an address cannot be bound."""
         settings = self._agent.settings
-        arguments = {'agent': self._agent}
-        self._listen(
-            settings.ready_address, [(r'/ready', ReadyHandler, arguments)]
-        )
+        self._listen(settings.ready_address, {READY_PATH: self._ready})
         self._listen(
-            settings.control_address, [(r'/rpc', RpcHandler, {'front': self})]
+            settings.control_address, {RPC_PATH: self._call}, method='POST'
         )
         if settings.metrics_address:
-            metrics_arguments = {
-                **arguments,
-                'count_left_out': self._count_left_out,
-            }
-            handlers = [
-                (r'/metrics', MetricsHandler, metrics_arguments),
-                (r'/status', StatusHandler, arguments),
-                (r'/explain/([^/]+)/([^/]+)', StatusHandler, arguments),
-            ]
-            self._listen(settings.metrics_address, handlers)
+            self._listen(
+                settings.metrics_address,
+                {
+                    METRICS_PATH: self._metrics,
+                    STATUS_PATH: self._status,
+                    EXPLAIN_PATH: self._status,
+                },
+            )
 
     async def stop(self):
         """Close all connections."""
@@ -164,32 +79,74 @@
             server.stop()
             await server.close_all_connections()
 
-    def time_of_day(self):
-        """Return Unix time in ms, the unit of the `born` field of a call."""
-        return self._wall_clock.now()
+    def carry_out(self, message):
+        """Respond to the call that an `AnnouncementAnswered` belongs to."""
+        request = self._pending_calls.pop(message.call_number, None)
+        if request is None:
+            return
+        if message.is_accepted:
+            _respond(request, STATUS_OK, JSON_TYPE, json.dumps({}).encode())
+        else:
+            _respond(request, STATUS_BAD_REQUEST)
+
+    def _ready(self, request):
+        """`GET /ready`: whether callers on this host may send new requests."""
+        is_ready = self._agent.is_ready
+        _respond(request, STATUS_OK if is_ready else STATUS_UNAVAILABLE)
+
+    def _metrics(self, request):
+        """`GET /metrics`: counters and latencies in Prometheus's format."""
+        from laburnumlatch.mesh import exposition
+
+        body = exposition.as_text(self._agent, self._count_left_out)
+        _respond(request, STATUS_OK, exposition.CONTENT_TYPE, body)
+
+    def _status(self, request):
+        """`GET /status` and `GET /explain/SERVICE/KEY`: the agent's view."""
+        from laburnumlatch.operators import report
+        from laburnumlatch.operators import state
+
+        agent_state = state.from_agent(self._agent)
+        status = STATUS_OK
+        try:
+            document = (
+                report.status(agent_state)
+                if request.path == STATUS_PATH
+                else report.explain(agent_state, *_explained(request.path))
+            )
+        except errors.InvalidInputError as error:
+            status = STATUS_BAD_REQUEST
+            document = {'error': str(error)}
+        _respond(request, status, JSON_TYPE, json.dumps(document).encode())
 
-    async def announce(self, build_message):
-        """Post a backend server's call; return whether it is accepted.
+    def _call(self, request):
+        """`POST /rpc`: an announcement or deregistration of the server.
 
-        `build_message` returns the message for the number of the call.
+        The response is sent when the systems have decided on the call.
         """
+        call = _query_argument(request, 'call')
+        server_id = _query_argument(request, 'of')
+        try:
+            build_message = announcements.decode(
+                call, server_id, request.body, self._wall_clock.now()
+            )
+        except errors.InvalidInputError as error:
+            _log.warning(
+                'announcement-unreadable',
+                call=call,
+                server=server_id,
+                detail=error,
+            )
+            _respond(request, STATUS_BAD_REQUEST)
+            return
         self._last_number += 1
-        self._pending_calls[self._last_number] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self._pending_calls[self._last_number] = request
         self._post(build_message(self._last_number))
-        return await self._pending_calls[self._last_number]
-
-    def carry_out(self, message):
-        """Complete the call that an `AnnouncementAnswered` belongs to."""
-        future = self._pending_calls.pop(message.call_number, None)
-        if future is not None and not future.done():
-            future.set_result(message.is_accepted)
 
-    def _listen(self, address, handlers):
+    def _listen(self, address, responders, method='GET'):
         ip_text, port = addresses.split_address(address)
         server = httpserver.HTTPServer(
-            web.Application(handlers, log_function=_skip_request_log),
+            functools.partial(_dispatch, responders, method),
             max_body_size=MAX_BODY_BYTES,
         )
         server.add_sockets(
@@ -198,5 +155,40 @@
         self._servers.append(server)
 
 
-def _skip_request_log(_handler):
-    """Suppress tornado's line for each request; systems log decisions."""
+def _dispatch(responders, method, request):
+    """Pass a request to the function that responds to its path."""
+    path = request.path
+    is_explanation = path.startswith(EXPLAIN_PATH)
+    responder = responders.get(EXPLAIN_PATH if is_explanation else path)
+    if responder is None or (is_explanation and _explained(path) is None):
+        _respond(request, STATUS_NOT_FOUND)
+    elif request.method == method:
+        responder(request)
+    else:
+        _respond(request, STATUS_WRONG_METHOD)
+
+
+def _explained(path):
+    """Return service and key in the path of an explanation, or None."""
+    parts = path.removeprefix(EXPLAIN_PATH).split('/')
+    if len(parts) == 2 and all(parts):
+        return tuple(urlparse.unquote(part) for part in parts)
+    return None
+
+
+def _query_argument(request, name):
+    """Return the last argument of that name as text, '' if there is none."""
+    values = request.query_arguments.get(name, (b'',))
+    return values[-1].decode('utf-8', 'replace').strip()
+
+
+def _respond(request, status, content_type=None, body=b''):
+    """Send a response; the connection is kept for further requests."""
+    headers = httputil.HTTPHeaders({'Content-Length': str(len(body))})
+    if content_type is not None:
+        headers['Content-Type'] = content_type
+    start_line = httputil.ResponseStartLine(
+        '', status, http.HTTPStatus(status).phrase
+    )
+    request.connection.write_headers(start_line, headers, body)
+    request.connection.finish()
