--- a/standins/costs.py
+++ b/standins/costs.py
@@ -20,6 +20,7 @@
 
 IDLE_TIME_S = 5
 NS_PER_US = 1000
+US_PER_MS = 1000
 IDLE_HOST_COUNTS = (2, 6, 12)
 SETTLE_TIME_S = 4
 READY_TIMEOUT_S = 20
@@ -55,6 +56,7 @@
     figures = {}
     for host_count in IDLE_HOST_COUNTS:
         async with _deployed(host_count) as costs:
+            figures[f'start, {host_count} hosts'] = {'ms': costs.start_ms}
             figures[f'idle agent, {host_count} hosts'] = await costs.idle()
             if host_count == IDLE_HOST_COUNTS[0]:
                 figures.update(await costs.requests())
@@ -86,16 +88,23 @@
 
 
 class _AgentCosts:
-    """Measures the resources that the agents of a deployment use."""
+    """Measures the resources that the agents of a deployment use.
+
+    `start_ms` is the mean processor time of the agents, in ms, when all have
+    answered a request for the first time.
+    """
 
     def __init__(self, deployed):
         """Measure a `deployment.Deployment` that has been started."""
         self._deployed = deployed
         self._callers = callers.Callers([], random.Random(SEED))
+        self.start_ms = None
 
     async def settle(self):
         """Wait until all agents answer and know the other members."""
         await deployment.wait_until('served', self._is_served, READY_TIMEOUT_S)
+        spent_us = [self._cpu_us(host_id) for host_id in self._deployed.hosts]
+        self.start_ms = round(sum(spent_us) / len(spent_us) / US_PER_MS)
         await asyncio.sleep(SETTLE_TIME_S)
 
     async def idle(self):
