--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import ranking
 
@@ -39,7 +40,7 @@
 MIN_WANTED_RATIO = 0.1
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Candidate:
     """A host that may own keys; `capacity` is in requests per ms.
 
@@ -53,7 +54,7 @@
     is_cold: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Move:
     """A move of keys `start` to `end`, both inclusive, to host `host_id`."""
 
@@ -82,7 +83,7 @@
 _OUTCOME_RANKS = (Outcome.EVEN, Outcome.UNCLEAR, Outcome.DONE, Outcome.STUCK)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SearchResult:
     """The moves that a search has chosen, and the highest load after them.
 
@@ -105,9 +106,14 @@
     """Return the load of a piece in requests per second, from bucket rates."""
     first = bucket_of(piece.start)
     last = bucket_of(piece.end)
-    return sum(
-        rates.get(bucket, 0) + IDLE_RATE for bucket in range(first, last + 1)
-    )
+    size = last + 1 - first
+    if len(rates) < size:
+        # Most buckets have no rate, and the planner asks several times a
+        # second for all of them.
+        busy = sum(rates[bucket] for bucket in rates if first <= bucket <= last)
+    else:
+        busy = sum(rates.get(bucket, 0) for bucket in range(first, last + 1))
+    return busy + size * IDLE_RATE
 
 
 def relative_load_by_host(pieces, rates, candidates):
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -4,12 +4,11 @@
 role. Messages are sent as lists, so the order of the fields must not change.
 """
 
-import attrs
-
+from laburnumlatch.core import records
 from laburnumlatch.mesh import ranges
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Renew:
     """A host requests a renewal of its lease and reports its state.
 
@@ -50,7 +49,7 @@
     slowness: float = 1
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Lease:
     """The planner's response to a renewal: the host's lease.
 
@@ -76,7 +75,7 @@
     is_provisional: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class PlannerIs:
     """Announces the holder of the planner role, as known to the sender."""
 
@@ -85,7 +84,7 @@
     term: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HandedOver:
     """The former owner, at `sender`, has released a piece of the plan.
 
@@ -101,7 +100,7 @@
     sender: str
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HandoverReceived:
     """The new owner acknowledges a `HandedOver`."""
 
@@ -110,7 +109,7 @@
     fence: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendDatagram:
     """Send `message` to the agent at `address`; it may get lost."""
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -12,6 +12,7 @@
 import attrs
 
 from laburnumlatch.core import headfields
+from laburnumlatch.core import records
 from laburnumlatch.mesh import routes
 
 
@@ -73,7 +74,7 @@
     SENT = 'sent'
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Head:
     """Head of a request: all but its body.
 
@@ -92,7 +93,7 @@
     caller_service: str = ''
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ServerLoadReport:
     """Load of a backend server as it reports it with a response.
 
@@ -106,7 +107,7 @@
     slowness: float | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Answer:
     """Complete response of a backend server."""
 
@@ -118,7 +119,7 @@
 # Requests: from front ends to systems.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class RequestArrived:
     """A complete request of a caller on this host was received.
 
@@ -136,14 +137,14 @@
     connection: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CallerLeft:
     """The caller closed its connection before the response was written."""
 
     number: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CallersCut:
     """Connections of callers were closed because of a bound.
 
@@ -154,7 +155,7 @@
     connections: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ForwardArrived:
     """Another agent forwarded a request to this host.
 
@@ -170,14 +171,14 @@
     waited_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ForwardCanceled:
     """The agent that forwarded the request no longer waits for a response."""
 
     number: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ExchangeEnded:
     """A complete response came from the backend server or another agent.
 
@@ -201,7 +202,7 @@
     cold_ms: int | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ExchangeFailed:
     """An exchange ended without a response.
 
@@ -229,7 +230,7 @@
 # Requests: from systems to front ends.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Deliver:
     """Write the response to the caller."""
 
@@ -237,7 +238,7 @@
     answer: Answer
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Refuse:
     """Report to the caller that there is no response, and why."""
 
@@ -247,7 +248,7 @@
     retry_after_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Forward:
     """A request that is forwarded to the agent of the host that serves it.
 
@@ -278,7 +279,7 @@
     regions: tuple[str, ...] | None = None
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class SendForward:
     """Send `forward` to the agent of a host."""
 
@@ -287,7 +288,7 @@
     forward: Forward
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CancelForward:
     """Cancel a forwarded request at the agent of a host."""
 
@@ -296,7 +297,7 @@
     exchange: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ReplyAnswer:
     """Return the response to the agent that forwarded the request.
 
@@ -316,7 +317,7 @@
     cold_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ReplyRefusal:
     """Report to the agent that forwarded the request why no response comes.
 
@@ -333,7 +334,7 @@
     cold_ms: int = 0
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Send:
     """Send the request to the local backend server.
 
@@ -355,7 +356,7 @@
     is_safe: bool = False
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CancelSend:
     """Abort an exchange with the backend server by closing its connection."""
 
@@ -366,12 +367,12 @@
 # The end of the process.
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Stopping:
     """The process received the signal to stop."""
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Stopped:
     """All requests have ended, or the grace period is over: end the process.
 
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -5,6 +5,7 @@
 import attrs
 from hdrh import histogram
 
+from laburnumlatch.core import records
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
@@ -37,7 +38,7 @@
     RUNNING = 'running'
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class HostRecord:
     """Description of a host, as its own agent writes it to the store.
 
@@ -59,7 +60,7 @@
     link_mbps: float = 0
 
 
-@attrs.define
+@records.define
 class RoundTrip:
     """Network time to a host and back for requests of one route.
 
@@ -71,7 +72,7 @@
     updated_at: int = 0
 
 
-@attrs.define
+@records.define
 class Host:
     """A host as this agent knows it.
 
@@ -108,7 +109,7 @@
         return self.record.host_id
 
 
-@attrs.define
+@records.define
 class Evacuation:
     """An operator's request to send nothing to the servers of a domain.
 
@@ -122,7 +123,7 @@
     is_known: bool | None = None
 
 
-@attrs.define
+@records.define
 class ServerLoad:
     """Load that the local backend server reports with its responses.
 
@@ -140,7 +141,7 @@
     reported_at: int = 0
 
 
-@attrs.define
+@records.define
 class Backend:
     """The backend server on the host of this agent.
 
@@ -175,7 +176,7 @@
     load: ServerLoad = attrs.Factory(ServerLoad)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class Departure:
     """A run of a backend server that has announced that it leaves.
 
@@ -186,7 +187,7 @@
     closing_at: int
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class NamedDeparture:
     """Announcement of a backend server that it leaves, without its start.
 
@@ -199,7 +200,7 @@
     closing_at: int
 
 
-@attrs.define
+@records.define
 class DepartureLog:
     """Row of the store with the departures on this host.
 
@@ -216,7 +217,7 @@
     retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
 
 
-@attrs.define
+@records.define
 class WorkTime:
     """Mean work time of a route at the local backend server.
 
@@ -230,7 +231,7 @@
     mean_square: float = 0
 
 
-@attrs.define
+@records.define
 class Counter:
     """A counter metric, counted from the start of the agent."""
 
@@ -239,7 +240,7 @@
     total: int = 0
 
 
-@attrs.define
+@records.define
 class Latency:
     """Histogram of the time until callers got their responses, in ms.
 
@@ -251,7 +252,7 @@
     recorded: histogram.HdrHistogram
 
 
-@attrs.define
+@records.define
 class CallerConnection:
     """A caller's connection with open requests: their numbers, in order."""
 
@@ -259,7 +260,7 @@
     open_numbers: list[int] = attrs.Factory(list)
 
 
-@attrs.define
+@records.define
 class Request:
     """One request in this agent, from its arrival to its outcome.
 
--- a/laburnumlatch/platform/servercall.py
+++ b/laburnumlatch/platform/servercall.py
@@ -5,9 +5,10 @@
 import attrs
 
 from laburnumlatch.core import headfields
+from laburnumlatch.core import records
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class ServerResponse:
     """Complete response to a call.
 
@@ -25,7 +26,7 @@
         return self.fields.get(name, default)
 
 
-@attrs.define(frozen=True)
+@records.define(frozen=True)
 class CallFailure:
     """A call without a complete response.
 
