Hand over the request beside a long body while that body arrives

test_other_requests_pass_a_long_body read the forwarded bytes up to 10 ms after the request had arrived.

The body now travels at 2 MB/s, and the request is sent once the other agent has begun to receive it. The test is stricter: a body that is sent as one part now fails it, while the earlier test passed that, because both requests were sent before the first part.

--- a/tests/test_body_parts.py
+++ b/tests/test_body_parts.py
@@ -53,6 +53,21 @@
     return arrived, ended
 
 
+async def begin_slow_body(agents, path, number):
+    """Send a slow body; return once `b` has begun to receive it.
+
+    At the full speed of loopback it would be whole within 10 ms, before the
+    test has looked again.
+    """
+    path.bytes_per_s = SLOW_BYTES_PER_S
+    agents.send(forward(number, SLOW_BODY))
+    for _ in range(test_mesh_peerlink.MAX_POLLS):
+        if agents.memories['b'].held_bytes:
+            return
+        await asyncio.sleep(test_mesh_peerlink.POLL_INTERVAL_S)
+    raise AssertionError('link b has not begun to receive the body')
+
+
 class TestTurns:
     """The bodies that are being sent on one connection."""
 
@@ -159,7 +174,7 @@
         """Guards against a lookup that waits until an upload is over."""
         async with linked() as (agents, path):
             await exchange(agents, 4, b'', b'')
-            agents.send(forward(5, SLOW_BODY))
+            await begin_slow_body(agents, path, 5)
             agents.send(forward(6))
             arrived = await agents.wait_for('b', messages.ForwardArrived)
             assert arrived.forward.number == 6
