Cancel a long body in the test only while it is arriving

test_canceled_body_is_forgotten canceled the request 10 ms after it was sent. Over loopback the body of 8 MB is whole by then, so the request had arrived; the test answered this canceled request instead of the next one, and waited in vain for its end ("link a posted no ExchangeEnded").

The next arrival must be the next request.

--- a/tests/test_body_parts.py
+++ b/tests/test_body_parts.py
@@ -209,12 +209,13 @@
 
     async def test_canceled_body_is_forgotten(self):
         """Guards against memory that stays promised to nobody."""
-        async with linked() as (agents, _path):
+        async with linked() as (agents, path):
             await exchange(agents, 4, b'', b'')
-            agents.send(forward(5, SLOW_BODY))
-            await asyncio.sleep(0.01)
+            await begin_slow_body(agents, path, 5)
             agents.links['a'].carry_out(messages.CancelForward('b', 5, 1))
-            await exchange(agents, 6, b'', b'')
+            path.bytes_per_s = 0
+            arrived, _ended = await exchange(agents, 6, b'', b'')
+            assert arrived.forward.number == 6
             assert not agents.memories['b'].held_bytes
 
     async def test_earlier_builds_get_bodies_whole(self):
