--- a/laburnumlatch/experiments/fleetconfig.py
+++ b/laburnumlatch/experiments/fleetconfig.py
@@ -3,6 +3,8 @@
 It has two services, of which one is divided by key, and three routes.
 """
 
+import attrs
+
 from laburnumlatch.mesh import routes
 
 SERVICE = 'bokun'
@@ -65,3 +67,14 @@
         OTHER_SERVICE: routes.Service(OTHER_SERVICE, '/health', CONNECTIONS),
     },
 )
+
+
+def with_cold_rate(configuration, cold_per_s, cold_start_ms):
+    """Return a configuration in which cold servers bear `cold_per_s`."""
+    services = {
+        name: attrs.evolve(
+            service, cold_per_s=cold_per_s, cold_start_ms=cold_start_ms
+        )
+        for name, service in configuration.services.items()
+    }
+    return attrs.evolve(configuration, services=services)
