--- a/laburnumlatch/cmdline.py
+++ b/laburnumlatch/cmdline.py
@@ -15,6 +15,7 @@
 from laburnumlatch.experiments import bench
 from laburnumlatch.experiments import faults
 from laburnumlatch.experiments import fleetload
+from laburnumlatch.experiments import overloadloads
 from laburnumlatch.experiments import workload
 from laburnumlatch.operators import inspection
 from laburnumlatch.operators import publish
@@ -262,7 +263,7 @@
 
     def __call__(self):
         """Print the share of callers served in time, by old and new policy."""
-        by_name = fleetload.patterns()
+        by_name = {**fleetload.patterns(), **overloadloads.patterns()}
         names = [self.pattern] if self.pattern else list(by_name)
         if self.pattern not in {None, *by_name}:
             raise errors.InvalidInputError(
@@ -274,8 +275,10 @@
         for completed, name in enumerate(names):
             progress_line.report(completed / len(names))
             figures[name] = fleetload.compare(by_name[name])
-        as_text = report.to_json if self.json else fleetload.as_text
-        sys.stdout.write(as_text(figures))
+        output = overloadloads.as_text(figures)
+        if self.json:
+            output = report.to_json(overloadloads.as_document(figures))
+        sys.stdout.write(output)
 
 
 @cappa.command(name='bench', help='Measure cost against the size of tables.')
--- a/laburnumlatch/experiments/overloadloads.py
+++ b/laburnumlatch/experiments/overloadloads.py
@@ -169,22 +169,47 @@
         load.process_outcomes()
 
 
-def compare(pattern):
-    """Return the shares by kind `before` and `now`."""
+def as_document(figures):
+    """Return the figures as dicts, for JSON."""
     return {
-        'before': pattern.measure(pattern.before),
-        'now': pattern.measure({}),
+        name: {when: _plain(shares) for when, shares in before_and_now.items()}
+        for name, before_and_now in figures.items()
     }
 
 
+def _plain(shares):
+    if not isinstance(shares, dict):
+        return shares
+    return {kind: attrs.asdict(by_kind) for kind, by_kind in shares.items()}
+
+
 def as_text(figures):
-    """Return the lines of one pattern; `figures` is a result of `compare`."""
-    return '\n'.join(
+    """Return the lines of all patterns, of this module and of `fleetload`.
+
+    `figures` holds results of `fleetload.compare` by name.
+    """
+    simple = {
+        name: shares
+        for name, shares in figures.items()
+        if not isinstance(shares['before'], dict)
+    }
+    lines = [fleetload.as_text(simple)] if simple else []
+    for name, shares in figures.items():
+        if name not in simple:
+            lines.append(f'{name}:\n')
+            lines.extend(
+                _line(kind, before, shares['now'][kind])
+                for kind, before in shares['before'].items()
+            )
+    return ''.join(lines)
+
+
+def _line(kind, before, now):
+    return (
         f'  {kind}: in time {before.in_time:.2f} before,'
-        f' {figures["now"][kind].in_time:.2f} now; lost after work'
-        f' {before.lost_work:.2f} before,'
-        f' {figures["now"][kind].lost_work:.2f} now'
-        for kind, before in figures['before'].items()
+        f' {now.in_time:.2f} now; answered {before.answered:.2f},'
+        f' {now.answered:.2f}; failed after work {before.lost_work:.2f},'
+        f' {now.lost_work:.2f}\n'
     )
 
 
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -12,6 +12,7 @@
 
 from laburnumlatch.core import wire
 from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetload
 from laburnumlatch.experiments import overloadloads
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
@@ -57,7 +58,7 @@
         A refused call wastes the work on its request. Share of requests lost
         so, seed 1: 0.50 and 0.51 before, 0.00 and 0.17 now.
         """
-        figures = overloadloads.compare(PATTERNS[name])
+        figures = fleetload.compare(PATTERNS[name])
         before = figures['before']['dispatch']
         after = figures['now']['dispatch']
         assert before.lost_work > 2 * after.lost_work
