Bound what is kept about routes and reported about ranks

Routes come and go with the configuration: their work of the last seconds, and the sums of their running requests, are dropped when nothing is left of them. Owners report the waits of at most eight ranks, whatever priorities a configuration has.

--- a/laburnumlatch/mesh/overload/fairness.py
+++ b/laburnumlatch/mesh/overload/fairness.py
@@ -16,6 +16,8 @@
 # A route or domain competes with the others if it has had at least this part
 # of the work.
 MIN_ACTIVE_RATIO = 0.02
+# Less work than this is forgotten.
+MIN_WORK_MS = 1
 # How often the hosts of each domain are counted.
 COUNT_INTERVAL_MS = 1000
 
@@ -78,6 +80,8 @@
         usages.host_counts = collections.Counter(
             host.record.domain for host in agent.hosts
         )
+        _drop_old(usages.by_route, agent.now)
+        _drop_old(usages.by_domain, agent.now)
     by_route = usages.by_route[request.rank]
     by_domain = usages.by_domain[request.rank]
     domain = _domain_of(agent, request)
@@ -110,6 +114,16 @@
     return own_ms * total_weight > TOLERANCE * total_ms * own_weight
 
 
+def _drop_old(by_rank, now):
+    """Drop what has not started for long; routes come and go."""
+    for rank, by_name in tuple(by_rank.items()):
+        for name, usage in tuple(by_name.items()):
+            if usage.work_at(now) < MIN_WORK_MS:
+                by_name.pop(name)
+        if not by_name:
+            by_rank.pop(rank)
+
+
 def _domain_of(agent, request):
     """Return the domain of the host that received the request."""
     if request.sender:
--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -11,9 +11,10 @@
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
 
-# Owners report the waits of this many ranks at least; less urgent ranks wait
-# as long as the last one.
+# Owners report the waits of this many ranks; less urgent ranks count as the
+# last one.
 MIN_RANKS = 3
+MAX_RANKS = 8
 # A host may have refused requests for a reason that is over by now.
 MAX_REPORT_AGE_MS = 1000
 # An owner may start a request ahead of some of its rank, so that a wait a
@@ -42,9 +43,9 @@
         return ()
     lefts_ms = forecast.remaining_ms(agent)
     slowdown = worktimes.slowdown(agent)
-    last_rank = agent.queue.entries()[-1].order[0]
+    count = min(max(MIN_RANKS, agent.queue.last_rank + 1), MAX_RANKS)
     waits_ms = []
-    for rank in range(max(MIN_RANKS, last_rank + 1)):
+    for rank in range(count):
         exceeded = fairness.has_domain_exceeded(agent, rank, request)
         ahead_ms = agent.queue.work_ms_before((rank, False, exceeded))
         waits_ms.append(
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -48,6 +48,11 @@
         """Return whether the request with this number is queued."""
         return number in self._entries
 
+    @property
+    def last_rank(self):
+        """First part of the order of the request that starts last."""
+        return self._keys[-1][0][0]
+
     def __iter__(self):
         """Iterate over the requests as they are now, in starting order."""
         return iter([entry.request for entry in self.entries()])
--- a/laburnumlatch/mesh/overload/running.py
+++ b/laburnumlatch/mesh/overload/running.py
@@ -38,6 +38,9 @@
         return (self.count * now - self.started_at) / self.usual_ms
 
 
+_NOTHING = Totals()
+
+
 class RunningRequests:
     """Running requests by number, with sums of all and of each route."""
 
@@ -74,12 +77,17 @@
 
     def totals_of(self, route):
         """Return the `Totals` of one route, or of all if it is None."""
-        return self.totals if route is None else self._by_route[route]
+        if route is None:
+            return self.totals
+        return self._by_route.get(route, _NOTHING)
 
     def usual_times_ms(self):
         """Return the usual work time of each running request."""
         return [slot.usual_ms for slot in self._slots.values()]
 
     def _count(self, slot, sign):
+        route = slot.request.route
         self.totals.add(slot, sign)
-        self._by_route[slot.request.route].add(slot, sign)
+        self._by_route[route].add(slot, sign)
+        if not self._by_route[route].count:
+            self._by_route.pop(route)
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -263,6 +263,19 @@
         usages.by_domain[1]['d0'].work_ms *= 5
         assert fairness.exceeded_shares(agent, request) == 1
 
+    def test_former_routes_are_forgotten(self):
+        """Guards against memory that grows with each change of the routes."""
+        agent = _busy_agent(100)
+        for number in range(100):
+            request = _running(number, agent.now)
+            request.route = f'route-{number}'
+            fairness.record_start(agent, request, 100)
+        agent.now += 60_000
+        last = _running(1, agent.now)
+        fairness.record_start(agent, last, 100)
+        fairness.exceeded_shares(agent, last)
+        assert list(agent.usages.by_route[1]) == ['asset']
+
 
 class TestOwners:
     """What the agent of a caller knows about the owner of a key."""
