--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -6,6 +6,7 @@
 
 from laburnumlatch.core import clock
 from laburnumlatch.core import errors
+from laburnumlatch.core import headfields
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetload
@@ -55,7 +56,10 @@
         time_source = clock.ManualClock()
         reader = loadheader.LoadReader(time_source)
         response = servercall.ServerResponse(
-            200, ((loadheader.LOAD, '3,x,6'),), b'', is_first=True
+            200,
+            headfields.pack([(loadheader.LOAD, '3,x,6')]),
+            b'',
+            is_first=True,
         )
         with logbook.TestHandler() as handler:
             reports = [reader.read(response) for _ in range(100)]
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -12,6 +12,7 @@
 
 from laburnumlatch.core import wire
 from laburnumlatch.experiments import fleetconfig
+from laburnumlatch.experiments import fleetload
 from laburnumlatch.experiments import overloadloads
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
@@ -57,7 +58,7 @@
         A refused call wastes the work on its request. Share of requests lost
         so, seed 1: 0.50 and 0.51 before, 0.00 and 0.17 now.
         """
-        figures = overloadloads.compare(PATTERNS[name])
+        figures = fleetload.compare(PATTERNS[name])
         before = figures['before']['dispatch']
         after = figures['now']['dispatch']
         assert before.lost_work > 2 * after.lost_work
@@ -263,6 +264,19 @@
         usages.by_domain[1]['d0'].work_ms *= 5
         assert fairness.exceeded_shares(agent, request) == 1
 
+    def test_former_routes_are_forgotten(self):
+        """Guards against memory that grows with each change of the routes."""
+        agent = _busy_agent(100)
+        for number in range(100):
+            request = _running(number, agent.now)
+            request.route = f'route-{number}'
+            fairness.record_start(agent, request, 100)
+        agent.now += 60_000
+        last = _running(1, agent.now)
+        fairness.record_start(agent, last, 100)
+        fairness.exceeded_shares(agent, last)
+        assert list(agent.usages.by_route[1]) == ['asset']
+
 
 class TestOwners:
     """What the agent of a caller knows about the owner of a key."""
