Refuse nested calls by the forecast only if it is far beyond their time

Cause: while a server is slowed down for 0.4 s, the forecast says that a call cannot start in time, which is wrong once the spell is over; the refusal wastes the work on its request.

Change: a call is refused at once if the forecast is more than twice the time it has, and otherwise once it cannot end in time.

The test of lost calls is stricter: five times fewer in place of two.

--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -20,6 +20,8 @@
 NESTED_TARGET_RATIO = 3
 # A refused caller usually finds room after this share of the expected wait.
 RETRY_AFTER_RATIO = 0.6
+# A nested call is refused if its forecast exceeds its slack by this ratio.
+NESTED_FORECAST_RATIO = 2
 # A request is due at this share of its time, but at this multiple of its
 # target at the latest, so that callers with long timeouts are not last.
 DUE_RATIO = 1 / 3
@@ -100,9 +102,14 @@
         return request.rank, True, 0, request.arrived_at
 
     def max_wait_ms(self, request, slack_ms):
-        """Return a share of the target, at most the slack."""
+        """Return a share of the target, at most the slack.
+
+        The wait of a nested call is a forecast that may be wrong, and a refusal
+        wastes the work on its request. So it is refused only if it would wait
+        far too long; `admission` refuses it once it cannot end in time.
+        """
         if request.is_nested:
-            return slack_ms
+            return slack_ms * NESTED_FORECAST_RATIO
         ratio = ONCE_MAX_WAIT_RATIO
         if request.is_safe:
             ratio = SAFE_MAX_WAIT_RATIO
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -56,12 +56,13 @@
         """Guards against calls refused by a share of their own short target.
 
         A refused call wastes the work on its request. Share of requests lost
-        so, seed 1: 0.50 and 0.51 before, 0.00 and 0.17 now.
+        so, seed 1: 0.49 and 0.59 before, 0.00 and 0.06 now; 0.17 in the second
+        if the forecast alone refuses calls.
         """
         figures = fleetload.compare(PATTERNS[name])
         before = figures['before']['dispatch']
         after = figures['now']['dispatch']
-        assert before.lost_work > 2 * after.lost_work
+        assert before.lost_work > 5 * after.lost_work
         assert after.in_time > before.in_time + 0.3
 
     def test_origin_is_known_at_the_called_agent(self):
