Send short responses at once again

asyncio sets TCP_NODELAY only on sockets that name their protocol, and the listening socket that the front end now opens itself did not: pipelined responses waited for delayed acknowledgements.

--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -93,12 +93,13 @@
         """Listen; raise OSError if the address cannot be bound."""
         ip_text, port = addresses.split_address(self._settings.caller_address)
         loop = asyncio.get_running_loop()
-        listener = socket.create_server(
-            (ip_text, port), backlog=BACKLOG, reuse_port=False
-        )
+        # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+        listener = socket.socket(proto=socket.IPPROTO_TCP)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
+        listener.bind((ip_text, port))
         self._server = await loop.create_server(
             self._create_connection, sock=listener, backlog=ACCEPTED_AT_ONCE
         )
