Do not count a pause of the agent itself as silence of its peer

An agent that got no processor time for 0.8 s while a response was due aborted the connection in its next check, before it had sent a ping, and its bookings ended as unknown. Found while tracing tests/test_rolling_stop.py beside load; the logs of those runs show that a peer or the test process stood still, and not whether the aborting agent did too.

Time between two checks now counts as silence up to 200 ms, twice the interval of the checks. So an abort always follows a ping by several checks. Requests are still held back by the full time, as it is not known then whether the peer reads. A peer that is silent while this agent runs is aborted as before.

It still fails when a peer itself gets no processor time for 0.8 s.

--- a/laburnumlatch/mesh/peersilence.py
+++ b/laburnumlatch/mesh/peersilence.py
@@ -12,6 +12,10 @@
 PING_AFTER_MS = 250
 HOLD_AFTER_MS = 350
 ABORT_AFTER_MS = 800
+# Of the time between two checks, pings and aborts count at most this much:
+# twice the usual interval. If it was longer, this process did not run, so it
+# has sent no ping, and what came meanwhile may be unread.
+MAX_COUNTED_MS = 200
 
 
 class Step(enum.Enum):
@@ -28,6 +32,9 @@
     def __init__(self):
         """Start with no response due."""
         self._since = None
+        self._checked_at = 0
+        # How much of the silence was spent while this process ran.
+        self._counted_ms = 0
         self._is_pinged = False
         # What the other side had taken at the last check, and whether bytes
         # waited to be sent then.
@@ -37,15 +44,19 @@
     def begin(self, now):
         """Note that a response is due from now on."""
         if self._since is None:
-            self._since = now
+            self._restart(now)
 
     def end(self, now, *, is_response_due):
         """Note that data came, or that the connection has ended."""
         self._is_pinged = False
-        self._since = now if is_response_due else None
+        self._restart(now if is_response_due else None)
 
     def allows_requests(self, now):
-        """Return whether the other agent may be sent a request."""
+        """Return whether the other agent may be sent a request.
+
+        This also counts the time in which this process did not run: whether
+        the other agent reads is not known then.
+        """
         return self._since is None or now < self._since + HOLD_AFTER_MS
 
     def check(self, now, taken_bytes, *, has_backlog):
@@ -61,10 +72,22 @@
         if self._since is None:
             return Step.NOTHING
         if is_taking:
-            self._since = now
-        if now >= self._since + ABORT_AFTER_MS:
+            self._restart(now)
+        self._count_until(now)
+        if self._counted_ms >= ABORT_AFTER_MS:
             return Step.ABORT
-        if now >= self._since + PING_AFTER_MS and not self._is_pinged:
+        if self._counted_ms >= PING_AFTER_MS and not self._is_pinged:
             self._is_pinged = True
             return Step.PING
         return Step.NOTHING
+
+    def _restart(self, since):
+        """Count silence from `since` on; None means no response is due."""
+        self._since = since
+        self._counted_ms = 0
+
+    def _count_until(self, now):
+        """Count the time since the last check, or since the silence began."""
+        elapsed_ms = now - max(self._since, self._checked_at)
+        self._counted_ms += min(elapsed_ms, MAX_COUNTED_MS)
+        self._checked_at = now
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -141,6 +141,32 @@
         assert steps[-1] == peersilence.Step.ABORT
         assert not silence.allows_requests(1000 + peersilence.HOLD_AFTER_MS)
 
+    def test_pause_of_this_process_is_no_silence_of_the_other(self):
+        """Guards against an abort by an agent that got no processor time.
+
+        The first check after 0.8 s without one was an abort, before any ping,
+        and the requests on the connection ended as unknown.
+        """
+        silence = peersilence.PeerSilence()
+        silence.begin(1000)
+        steps = [
+            silence.check(now, 500, has_backlog=False)
+            for now in (1050, *range(5000, 5700, 100))
+        ]
+        assert steps.count(peersilence.Step.PING) == 1
+        assert steps.index(peersilence.Step.PING) < 3
+        assert peersilence.Step.ABORT not in steps[:-1]
+        assert steps[-1] == peersilence.Step.ABORT
+
+    def test_request_is_held_back_after_a_pause_of_this_process(self):
+        """Guards against requests to an agent that may read them much later."""
+        silence = peersilence.PeerSilence()
+        silence.begin(1000)
+        assert silence.check(5000, 500, has_backlog=False) != (
+            peersilence.Step.ABORT
+        )
+        assert not silence.allows_requests(5000)
+
     def test_bytes_that_are_taken_end_it(self):
         """Guards against a long body that is taken for silence."""
         silence = peersilence.PeerSilence()
