Time each head of a pipeline on its own

The time of a head ran on from an earlier one when a read ended inside a head, and while the agent itself read nothing at a bound. Callers who pipeline got 408 after header_timeout.

--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -141,6 +141,7 @@
 
     def head_received(self, head):
         """Begin an exchange; refuse a body for which there is no room."""
+        self._head_since = None
         if self.is_ended:
             return
         size = head.body_bytes or 0
@@ -233,7 +234,8 @@
             size += self._parser.held_bytes
         self._connection.account.adjust_small(size - self._counted_bytes)
         self._counted_bytes = size
-        if self.is_ended or not self._parser.is_in_head:
+        # At a bound the rest of a head may have come and not been parsed.
+        if not (self._parser.is_in_head and self._may_parse()):
             self._head_since = None
         elif self._head_since is None:
             self._head_since = self._front.now
--- a/tests/test_caller_pipelining.py
+++ b/tests/test_caller_pipelining.py
@@ -317,6 +317,35 @@
         assert response.status == 408
         assert not responder.arrived
 
+    async def test_head_at_the_bound_does_not_take_too_long(self):
+        """Guards against 408 for a head that the agent leaves unread."""
+        async with fronts.responding() as responder:
+            responder.change_limits(self.limits)
+            _reader, writer = await responder.connect()
+            writer.write(b''.join(map(fronts.get, paths(BURST))))
+            await responder.wait_for(*paths(requestreader.MAX_PIPELINED))
+            await asyncio.sleep(1.2)
+            for path in tuple(responder.arrived):
+                responder.answer(path)
+            await responder.wait_for(*paths(BURST))
+            writer.close()
+
+    async def test_each_head_has_its_own_time(self):
+        """Guards against 408 for heads that follow each other closely."""
+        async with fronts.responding() as responder:
+            responder.change_limits(self.limits)
+            reader, writer = await responder.connect()
+            begin = b'GET /r'
+            writer.write(begin)
+            for path in paths(12):
+                await asyncio.sleep(SHORT_WAIT_S)
+                writer.write(fronts.get(path).removeprefix(begin) + begin)
+                await responder.wait_for(path)
+                responder.answer(path)
+                response = await fronts.read_response(reader)
+                assert response.status == 200
+            writer.close()
+
     async def test_idle_connection_is_closed(self):
         """Guards against idle connections that are kept for ever."""
         async with fronts.responding() as responder:
