--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -91,6 +91,8 @@
 
         Returns whether more is to be parsed in the next pass of the loop.
         """
+        # The configuration may have changed since the connection was opened.
+        self._parser.max_head_bytes = self._front.max_head_bytes
         left_bytes = PASS_BYTES
         while self._read_ahead and left_bytes > 0 and self._may_parse():
             size = self._parser.piece_bytes
@@ -141,15 +143,21 @@
 
     def head_received(self, head):
         """Begin an exchange; refuse a body for which there is no room."""
+        self._head_since = None
         if self.is_ended:
             return
         size = head.body_bytes or 0
         guard = self._front.guard
         account = self._connection.account
+        is_too_large = size > self._front.limits.body_bytes
+        # A body that is refused anyway is no reason to close others for it.
         has_room = guard.has_room(
             account, callerexchanges.cost_bytes(head)
-        ) and (not size or guard.has_room_for_body(account, size))
-        is_too_large = size > self._front.limits.body_bytes
+        ) and (
+            is_too_large
+            or not size
+            or guard.has_room_for_body(account, size)
+        )
         is_refused = is_too_large or not has_room
         exchange = self._exchanges.append(
             self._connection, head, 0 if is_refused else head.body_bytes
@@ -233,7 +241,8 @@
             size += self._parser.held_bytes
         self._connection.account.adjust_small(size - self._counted_bytes)
         self._counted_bytes = size
-        if self.is_ended or not self._parser.is_in_head:
+        # At a bound the rest of a head may have come and not been parsed.
+        if not (self._parser.is_in_head and self._may_parse()):
             self._head_since = None
         elif self._head_since is None:
             self._head_since = self._front.now
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -4,12 +4,15 @@
 import itertools
 
 import attrs
+import pytest
 
 from laburnumlatch.core import bodymemory
 from laburnumlatch.core import clock
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import calleraccounts
+from laburnumlatch.platform import callerfront
 from laburnumlatch.platform import callerguard
 from laburnumlatch.platform import readahead
 from tests import fronts
@@ -109,6 +112,17 @@
         assert guarded.guard.has_room(idle.account, HELD_BYTES)
         assert not idle.is_closed
 
+    def test_nobody_is_closed_for_a_body_that_never_fits(self):
+        """Guards against callers who are cut off for a refused request."""
+        guarded = Guarded()
+        idle = guarded.connect()
+        newcomer = guarded.connect()
+        guarded.pass_time(newcomer)
+        assert not guarded.guard.has_room_for_body(
+            newcomer.account, PROCESS_BYTES // 2
+        )
+        assert not idle.is_closed
+
     def test_one_address_leaves_room_for_others(self):
         """Guards against one caller address that shuts out all others."""
         guarded = Guarded()
@@ -199,6 +213,52 @@
             assert float(response.fields['retry-after']) > 0
             assert not responder.arrived
 
+    async def test_too_large_body_closes_nobody(self):
+        """Guards against callers who are cut off for a refused request."""
+        async with fronts.responding() as responder:
+            responder.change_limits(routes.Limits(body_bytes=1000))
+            asked = []
+            responder.front.guard.has_room_for_body = lambda _account, size: (
+                asked.append(size) or True
+            )
+            reader, writer = await responder.connect()
+            writer.write(fronts.put('/a', bytes(1001)))
+            response = await fronts.read_response(reader)
+            writer.close()
+        assert response.status == 413
+        assert not asked
+
+    async def test_raised_limit_holds_for_open_connections(self):
+        """Guards against 431 for heads that the configuration allows."""
+        async with fronts.responding() as responder:
+            reader, writer = await responder.connect()
+            writer.write(fronts.get('/a'))
+            await responder.wait_for('/a')
+            responder.change_limits(routes.Limits(header_bytes=60_000))
+            responder.answer('/a')
+            assert (await fronts.read_response(reader)).status == 200
+            writer.write(fronts.get('/b', f'X-Long: {"x" * 50_000}'))
+            await responder.wait_for('/b')
+            writer.close()
+
+    @pytest.mark.parametrize('digits', [400, 5000])
+    async def test_numbers_of_many_digits_are_bounded(self, digits):
+        """Guards against numbers that fail where they are converted.
+
+        Python reads no text of more than 4,300 digits, which left a request
+        open for ever, and no float takes 400, which ended a tick.
+        """
+        number = '9' * digits
+        async with fronts.responding() as responder:
+            _reader, writer = await responder.connect()
+            fields = f'X-Deadline-Ms: {number}', f'X-Shard-Key: {number}'
+            writer.write(fronts.get('/a', *fields))
+            await responder.wait_for('/a')
+            writer.close()
+        arrived = responder.arrived['/a']
+        assert arrived.time_left_ms == callerfront.MAX_NUMBER
+        assert arrived.head.key is None
+
     async def test_partial_head_is_counted_and_freed(self):
         """Guards against heads without end that nothing counts."""
         async with fronts.responding() as responder:
