Count the bound of an evacuation from before a pause of the agent

A frozen agent reads what the store has said only after it goes on, and counted the bound from then: its server got requests for 3.5 s more.

--- a/laburnumlatch/core/ticking.py
+++ b/laburnumlatch/core/ticking.py
@@ -5,16 +5,24 @@
 from laburnumlatch.core import mailbox
 from laburnumlatch.core import tables
 
+# Without a tick for this time the process was paused: systems request ticks
+# several times a second.
+PAUSE_MS = 1000
+
 
 @attrs.define(kw_only=True)
 class TickState:
     """Mailboxes between front ends and systems, and the next wake-up time.
 
     `now` is the time of the current tick in ms; `timers` holds the next due
-    time in ms of each periodic timer, by name.
+    time in ms of each periodic timer, by name. `paused_at` is the time of the
+    last tick before the latest pause of the process, `resumed_at` that of the
+    first one after it; both are None before any pause.
     """
 
     now: int = 0
+    paused_at: int | None = None
+    resumed_at: int | None = None
     inbox: mailbox.Mailbox = attrs.Factory(mailbox.Mailbox)
     outbox: mailbox.Mailbox = attrs.Factory(mailbox.Mailbox)
     timers: tables.Table = attrs.Factory(tables.Table)
@@ -32,6 +40,9 @@
 
     def begin_tick(self, now):
         """Reset the wake-up time, which systems set again in each tick."""
+        if self.now and now - self.now > PAUSE_MS:
+            self.paused_at = self.now
+            self.resumed_at = now
         self.now = now
         self._wake = None
 
--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -11,6 +11,9 @@
 # The own server gets no request in the last part of the bound: this agent has
 # learned of the evacuation later than the store has acknowledged it.
 MARGIN_MS = 1500
+# Responses that have arrived during a pause of this process are read within
+# this time after it.
+RESUME_MS = 1000
 PROGRESS_TIMER = 'evacuation/progress'
 
 _log = logs.logger('evacuation')
@@ -103,10 +106,14 @@
 def _latest_known_begin(agent, read, now):
     """Return when new evacuations of a read had begun at the latest, or None.
 
-    A watch reports them at once. They may be in a full read since the last
-    response, and since any time if there was none. So the bound is never
-    taken for longer than it is, also after an outage of the store.
+    A watch reports them at once, unless this process was paused. They may be
+    in a full read since the last response, and since any time if there was
+    none. So the bound is never taken for longer than it is, also after an
+    outage of the store.
     """
     if not read.is_complete:
-        return now
+        is_resuming = (
+            agent.resumed_at is not None and now < agent.resumed_at + RESUME_MS
+        )
+        return agent.paused_at if is_resuming else now
     return agent.configuration_updated_at or None
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -145,6 +145,25 @@
         scene.fleet.run(40)
         assert scene.fleet.outcomes[number] is None
 
+    def test_bound_counts_from_before_a_pause_of_the_agent(self):
+        """Guards against requests after the bound at an agent that was frozen.
+
+        What the store has told it meanwhile is read some time after that.
+        """
+        scene = Scene()
+        fleet = scene.fleet
+        fleet.paused.add('m0')
+        fleet.store.evacuate('d0')
+        fleet.run(4000)
+        fleet.paused.clear()
+        resumed_at = fleet.now
+        for number in range(100):
+            forward = test_mesh_late_input.forward(routes.Kind.SAFE, number)
+            arrived = messages.ForwardArrived(90_000 + number, 'b1', forward)
+            fleet.post('m0', arrived)
+            fleet.run(10)
+        assert not scene.starts('m0', resumed_at + fleetstore.WATCH_POLL_MS)
+
     def test_bound_counts_from_the_last_response_of_the_store(self):
         """Guards against an agent that learns of it after an outage."""
         scene = Scene()
