--- a/laburnumlatch/mesh/pacing/coldqueue.py
+++ b/laburnumlatch/mesh/pacing/coldqueue.py
@@ -6,6 +6,7 @@
 
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import placement
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.pacing import coldness
@@ -30,13 +31,17 @@
     """Refuse a request as not run, or have another host chosen for it.
 
     The agent that forwarded a request chooses for it, and a key has one owner.
+    Without another host the caller is told at once.
     """
     decisions.record(agent, request, 'server-cold', wait_ms=wait_ms)
     reason = messages.Reason.NO_ROOM
-    if request.sender or agent.is_divided(request.service):
+    request.tried_hosts.append(agent.host_id)
+    is_placed_here = not request.sender and not agent.is_divided(
+        request.service
+    )
+    if is_placed_here and placement.has_ready_untried_host(agent, request):
+        requests.park(agent, request, reason)
+    else:
         requests.refuse(
             agent, request, reason, agent.wait_policy.retry_after_ms(wait_ms)
         )
-        return
-    request.tried_hosts.append(agent.host_id)
-    requests.park(agent, request, reason)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -88,6 +88,14 @@
     )
 
 
+def has_ready_untried_host(agent, request):
+    """Return whether a host is left for a request, if only an avoided one."""
+    return any(
+        host.host_id not in request.tried_hosts
+        for host in _ready_hosts(agent, request)
+    )
+
+
 def _handle_rejection(agent, request, rejection, now):
     """Place a request that was rejected here on another host, or refuse it.
 
@@ -147,7 +155,14 @@
 
 def _usable_hosts(agent, request, now):
     """Return the available hosts for a request; if none is, all ready ones."""
-    hosts = [
+    hosts = _ready_hosts(agent, request)
+    available = [host for host in hosts if _is_available(agent, host, now)]
+    return available or hosts
+
+
+def _ready_hosts(agent, request):
+    """Return the hosts of the service that the request may reach."""
+    return [
         host
         for host in agent.hosts
         if host.record.service == request.service
@@ -155,8 +170,6 @@
         and not domains.is_evacuated(agent, host.record.domain)
         and regions.allows(agent, request, host)
     ]
-    available = [host for host in hosts if _is_available(agent, host, now)]
-    return available or hosts
 
 
 def _is_available(agent, host, now):
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -215,6 +215,23 @@
         become_cold(fleet)
         assert not len(queue)
 
+    def test_queued_callers_without_another_host(self):
+        """Guards against callers that are parked although no host is left.
+
+        They are told at once, and when the cold server will have room.
+        """
+        fleet = cold_fleet()
+        for _ in range(3):
+            for _ in range(5):
+                fleet.call('m0', '/')
+            fleet.run(1)
+        queued = {request.number for request in fleet.agents['m0'].queue}
+        assert queued
+        become_cold(fleet)
+        fleet.run(1)
+        reasons = {fleet.outcomes[number].reason for number in queued}
+        assert reasons == {messages.Reason.NO_ROOM}
+
     def test_queued_callers_go_to_other_hosts(self):
         """Guards against refusals of queued requests that others can serve."""
         fleet = cold_fleet(others=2)
