Give back to the pace only what a send has taken

Beyond a debt of one second, sends to a warm server take nothing. Each 421 gave back a whole token, so a server that became cold just then had no rest.

--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -95,7 +95,7 @@
     regions.record_send(agent, request, now)
     request.exchange += 1
     request.started_at = now
-    pace.count_send(agent, now)
+    pace.count_send(agent, request, now)
     agent.running.put(request, worktimes.found_running_ms(agent, request))
     agent.outbox.post(
         messages.Send(
--- a/laburnumlatch/mesh/outcomes.py
+++ b/laburnumlatch/mesh/outcomes.py
@@ -126,7 +126,7 @@
         detail=failure.detail or None,
     )
     if is_local:
-        pace.count_failure(agent, failure, now)
+        pace.count_failure(agent, request, failure, now)
     if is_local and _send_again_if_stale(agent, request, failure, now):
         return
     if _may_have_reached_server(failure):
--- a/laburnumlatch/mesh/pacing/pace.py
+++ b/laburnumlatch/mesh/pacing/pace.py
@@ -57,27 +57,31 @@
         agent.wake_at(now + next_ms)
 
 
-def count_send(agent, now):
+def count_send(agent, request, now):
     """Count a request that is sent to the own server."""
+    request.tokens_taken = 0
     if not coldness.cold_rate(agent):
         return
     if coldness.remaining_ms(agent, now):
         counting.count(agent, 'paced_starts')
+    before = _tokens(agent, now)
     _change_tokens(agent, -1, now)
+    request.tokens_taken = before - agent.backend.start_tokens
 
 
-def count_failure(agent, failure, now):
+def count_failure(agent, request, failure, now):
     """Take a send back if the own server did not get it, or not as its own.
 
     `failure` is a `messages.ExchangeFailed`. A server does no work for a
-    request that is meant for another one.
+    request that is meant for another one. What the request has taken comes
+    back: that is less than a token if the debt was at its limit.
     """
     is_unsent = failure.phase == messages.Phase.UNSENT
     is_misdirected = failure.reason == messages.Reason.NOT_OWNER
     if is_unsent and failure.reason == messages.Reason.BROKEN:
         coldness.suspect(agent, now)
     if coldness.cold_rate(agent) and (is_unsent or is_misdirected):
-        _change_tokens(agent, 1, now)
+        _change_tokens(agent, request.tokens_taken, now)
 
 
 def _change_tokens(agent, change, now):
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -278,6 +278,9 @@
     forwarded the request here, empty if it came from a caller on this host;
     `sender_exchange` is the number of the exchange at the sender.
 
+    `tokens_taken` is what the last send to the local backend server has taken
+    from `pacing.pace`.
+
     `backend_sends` counts exchanges in which a backend server may have
     received the request, and `may_have_run` is set once one of them may have
     run it. `tried_hosts` are the hosts of exchanges that failed or refused.
@@ -319,6 +322,7 @@
     exchange: int = 0
     sender_exchange: int = 0
     started_at: int = 0
+    tokens_taken: float = 0
     backend_sends: int = 0
     times_parked: int = 0
     tried_hosts: list[str] = attrs.Factory(list)
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -135,6 +135,28 @@
         fleet.run(1)
         assert before < spent + 1 <= agent.backend.start_tokens
 
+    def test_misdirected_requests_among_many(self):
+        """Guards against 421 that give back what other requests have taken.
+
+        Sends to a busy warm server are counted up to a debt of one second, so
+        most of them take nothing.
+        """
+        fleet = cold_fleet()
+        send_many(fleet, SECOND_MS)
+        agent = fleet.agents['m0']
+        for request in list(agent.running)[:4]:
+            refused = messages.ExchangeFailed(
+                request.number,
+                request.exchange,
+                messages.Phase.REFUSED,
+                messages.Reason.NOT_OWNER,
+            )
+            fleet.post('m0', refused)
+        become_cold(fleet)
+        since = fleet.now
+        send_many(fleet, 800)
+        assert most_in_a_second(fleet, since=since) == 0
+
 
 class TestOtherHosts:
     """Many senders, of which each alone sends little to a cold host."""
