--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -166,3 +166,17 @@
             serve(fleet, 10, per_step=4)
             most = max(most, len(server.running))
         assert most == used
+
+    def test_silent_connections_at_all_slots_in_use(self):
+        """Guards against a server that gets nothing until deadlines are over.
+
+        All of the requests that it may run wait on silent connections.
+        """
+        fleet, server = uneven_fleet(reported_slots=3)
+        serve(fleet, 2000, per_step=1)
+        fleet.run(3000)
+        server.silent_connections = 3
+        numbers = [fleet.call('m0', '/') for _ in range(3)]
+        fleet.run(1500)
+        outcomes = [fleet.outcomes[number] for number in numbers]
+        assert {type(outcome) for outcome in outcomes} == {messages.Deliver}
