Accept announcements whose cold time is unreadable

The whole announcement was refused, so that the server got no requests. What was believed stays in effect instead, with one log line a minute.

--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -15,7 +15,7 @@
     """The local backend server announced itself.
 
     `sequence` rises with each announcement of the same life. `cold_ms` is how
-    much of its warm-up time is left.
+    much of its warm-up time is left, None if it said that unreadably.
     """
 
     call_number: int
@@ -25,7 +25,7 @@
     slots: int
     is_draining: bool
     sequence: int
-    cold_ms: int = 0
+    cold_ms: int | None = 0
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/pacing/coldness.py
+++ b/laburnumlatch/mesh/pacing/coldness.py
@@ -15,8 +15,8 @@
 DEFAULT_MAX_COLD_MS = 30_000
 # Longer than the interval of announcements, 870 ms.
 SUSPECT_MS = 1000
-# Announcements come about once a second, and repeat a time that is too long.
-CLAMP_LOG_INTERVAL_MS = 60_000
+# Announcements come about once a second, and repeat a time that is invalid.
+LOG_INTERVAL_MS = 60_000
 
 _log = logs.logger('pacing')
 
@@ -25,11 +25,20 @@
     """Keep that the own server has just said it is cold for `cold_ms`.
 
     The newest announcement counts, also if it says less than an earlier one.
+    If `cold_ms` is None, as it was unreadable, what was believed stays, and a
+    new life counts as cold for the time of the configuration.
     """
     backend = agent.backend
+    if cold_ms is None:
+        if agent.due('pacing/unreadable', LOG_INTERVAL_MS, now):
+            _log.warning('cold-time-unreadable', server=backend.life.server_id)
+        if backend.joined_at < now:
+            return
+        service = _own_service(agent)
+        cold_ms = 0 if service is None else service.cold_start_ms
     believed_ms = min(cold_ms, _longest_ms(agent))
     if believed_ms < cold_ms and agent.due(
-        'pacing/clamped', CLAMP_LOG_INTERVAL_MS, now
+        'pacing/clamped', LOG_INTERVAL_MS, now
     ):
         _log.warning(
             'cold-time-clamped', said_ms=cold_ms, believed_ms=believed_ms
--- a/laburnumlatch/platform/announcements.py
+++ b/laburnumlatch/platform/announcements.py
@@ -60,5 +60,13 @@
         slots=jsontext.get_unsigned_int(document, 'slots'),
         is_draining=_IS_DRAINING[document['state']],
         sequence=jsontext.get_unsigned_int(document, 'sequence'),
-        cold_ms=durations.parse(document.get('cold_remaining', '0ms')),
+        cold_ms=_decode_cold_ms(document.get('cold_remaining', '0ms')),
     )
+
+
+def _decode_cold_ms(text):
+    """Return a cold time in ms, None if it is invalid."""
+    try:
+        return durations.parse(text)
+    except errors.InvalidInputError:
+        return None
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -1,5 +1,7 @@
 """Backend servers that are cold: the pace at which they get requests."""
 
+import attrs
+
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import messages
@@ -297,6 +299,23 @@
         become_cold(fleet, 0)
         assert not coldness.remaining_ms(agent, fleet.now)
 
+    def test_unknown_cold_time(self):
+        """Guards against the usual rate as an announcement is unreadable.
+
+        What was believed stays; a new life is cold for the configured time.
+        """
+        fleet = cold_fleet()
+        agent = fleet.agents['m0']
+        for is_new, expected_ms in ((True, COLD_MS), (False, COLD_MS - 1)):
+            if is_new:
+                fleet.backends['m0'].restart()
+            announced = attrs.evolve(
+                fleet.backends['m0'].announce(), cold_ms=None
+            )
+            fleet.post('m0', announced)
+            fleet.run(1)
+            assert coldness.remaining_ms(agent, agent.now) == expected_ms
+
     def test_new_life_before_its_announcement(self):
         """Guards against the usual rate to a new life that is not known yet.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -157,6 +157,19 @@
                 test_platform_decoding.RECEIVED_AT,
             )
 
+    @pytest.mark.parametrize(
+        'text', ['null', 'true', '7', '[]', '"-5s"', '"NaNs"', f'"{10**40}s"']
+    )
+    def test_malformed_cold_time_is_unknown(self, text):
+        """Guards against a server out of use because of this one field."""
+        build_message = announcements.decode(
+            announcements.HEARTBEAT,
+            'i-1',
+            heartbeat_with('cold_remaining', text),
+            test_platform_decoding.RECEIVED_AT,
+        )
+        assert build_message(1).cold_ms is None
+
     @pytest.mark.parametrize('body', [NESTED, '1e999', '[]', '"x"', 'null'])
     def test_malformed_body_is_rejected(self, body):
         """Guards against using a body that is not a JSON object."""
