--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -7,7 +7,6 @@
 import attrs
 
 from laburnumlatch.mesh import balancing
-from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leaving
@@ -17,7 +16,6 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.evacuation import domains
-from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import queue
@@ -50,28 +48,6 @@
                     forecast.expected_wait_ms(agent)
                 ),
             )
-    for displaced in displacement.find(agent, now):
-        _refuse_displaced(agent, displaced)
-
-
-def _refuse_displaced(agent, displaced):
-    request = displaced.entry.request
-    counting.count(agent, 'requests_displaced', route=request.route)
-    decisions.record(
-        agent,
-        request,
-        'displaced',
-        wait_ms=displaced.wait_ms,
-        waited_ms=agent.now - request.arrived_at,
-        late_in_ms=int(displaced.entry.start_by) - agent.now,
-        queued=len(agent.queue),
-    )
-    requests.refuse(
-        agent,
-        request,
-        messages.Reason.NO_ROOM,
-        agent.wait_policy.retry_after_ms(displaced.wait_ms),
-    )
 
 
 @attrs.define(frozen=True)
--- a/laburnumlatch/mesh/choosing.py
+++ b/laburnumlatch/mesh/choosing.py
@@ -76,7 +76,7 @@
 def _cost_ms(agent, request, host, best_work_ms):
     """Return wait, work and penalties of a request at a host, in ms."""
     cost_ms = (
-        _expected_wait_ms(agent, request, host)
+        expected_wait_ms(agent, request, host)
         + _expected_work_ms(agent, request, host, best_work_ms)
         + host.failure_ratio * FAILURE_PENALTY_MS
     )
@@ -90,7 +90,7 @@
     )
 
 
-def _expected_wait_ms(agent, request, host):
+def expected_wait_ms(agent, request, host):
     """Return how long a request would wait at a host.
 
     For another host this is the larger of two estimates: the wait that it
--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -1,4 +1,4 @@
-"""Finds queued requests that more urgent ones have displaced.
+"""System: refuses queued requests that more urgent ones have displaced.
 
 Requests that arrive may go ahead of those in the queue. A request that can no
 longer start within its bound is refused at once, while its caller has time to
@@ -9,6 +9,11 @@
 
 import attrs
 
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import placement
+from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
 
@@ -28,6 +33,46 @@
     wait_ms: int
 
 
+def run(agent, now):
+    """Refuse displaced requests, or have other hosts chosen for them."""
+    for displaced in find(agent, now):
+        _refuse(agent, displaced, now)
+
+
+def _refuse(agent, displaced, now):
+    """Refuse a request as not run, unless another host can serve it in time.
+
+    The agent that forwarded a request chooses for it, and a key has one owner.
+    """
+    request = displaced.entry.request
+    left_ms = int(displaced.entry.start_by) - now
+    counting.count(agent, 'requests_displaced', route=request.route)
+    decisions.record(
+        agent,
+        request,
+        'displaced',
+        wait_ms=displaced.wait_ms,
+        waited_ms=now - request.arrived_at,
+        late_in_ms=left_ms,
+        queued=len(agent.queue),
+    )
+    is_placed_here = not request.sender and not agent.is_divided(
+        request.service
+    )
+    if is_placed_here and placement.has_room_elsewhere(
+        agent, request, now, left_ms
+    ):
+        request.tried_hosts.append(agent.host_id)
+        requests.place_again(agent, request)
+        return
+    requests.refuse(
+        agent,
+        request,
+        messages.Reason.NO_ROOM,
+        agent.wait_policy.retry_after_ms(displaced.wait_ms),
+    )
+
+
 def find(agent, now):
     """Return the `Displaced` entries of the queue, at most once a tick.
 
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -5,6 +5,7 @@
 """
 
 from laburnumlatch.mesh import admission
+from laburnumlatch.mesh import choosing
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import messages
@@ -88,6 +89,16 @@
     )
 
 
+def has_room_elsewhere(agent, request, now, max_wait_ms):
+    """Return whether another host is expected to start a request in time."""
+    return any(
+        host.host_id != agent.host_id
+        and host.host_id not in request.tried_hosts
+        and choosing.expected_wait_ms(agent, request, host) <= max_wait_ms
+        for host in _usable_hosts(agent, request, now)
+    )
+
+
 def has_ready_untried_host(agent, request):
     """Return whether a host is left for a request, if only an avoided one."""
     return any(
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -26,6 +26,7 @@
 from laburnumlatch.mesh import storeepochs
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh.evacuation import progress
+from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.pacing import coldqueue
 
 # `counting` counts the store's responses before other systems remove them
@@ -55,6 +56,7 @@
     placement,
     throttling,
     admission,
+    displacement,
     coldqueue,
     dispatch,
     leaving,
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -48,6 +48,20 @@
         fleet.run(10)
 
 
+def send_ranked(fleet, rank, count, target_ms):
+    """Forward requests of a rank to `m0`; they may not run twice."""
+    for _ in range(count):
+        number = next(fleet.request_numbers)
+        request = attrs.evolve(
+            test_mesh_late_input.forward(routes.Kind.ONCE, number),
+            priority=rank,
+            target_ms=target_ms,
+            time_left_ms=3 * target_ms,
+        )
+        fleet.post('m0', messages.ForwardArrived(number, 'b0', request))
+    fleet.run(2)
+
+
 def most_in_a_second(fleet, since=0):
     """Return the most requests that `m0` got within any second."""
     times = [at for at, _id in fleet.backends['m0'].started if at >= since]
@@ -239,6 +253,29 @@
         become_cold(fleet)
         assert not len(queue)
 
+    def test_displaced_callers_go_to_other_hosts(self):
+        """Guards against refusals of displaced requests that others can serve.
+
+        Urgent requests from elsewhere join ahead of those of callers here.
+        """
+        fleet = cold_fleet(others=2)
+        agent = fleet.agents['m0']
+        agent.hosts.get('m1').avoid_until = fleet.now + 5
+        for _ in range(3):
+            for _ in range(4):
+                fleet.call('m0', '/')
+            fleet.run(1)
+        queued = [request.number for request in agent.queue]
+        assert queued
+        fleet.run(5)
+        send_ranked(fleet, 0, 20, target_ms=3000)
+        assert not {request.number for request in agent.queue}.intersection(
+            queued
+        )
+        fleet.run(300)
+        outcomes = [fleet.outcomes[number] for number in queued]
+        assert {type(outcome) for outcome in outcomes} == {messages.Deliver}
+
     def test_queued_callers_without_another_host(self):
         """Guards against callers that are parked although no host is left.
 
