--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -16,6 +16,7 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.pacing import pace
 
 # Without new requests, the forecast is repeated after this time: the server may
 # have become slow.
@@ -106,6 +107,7 @@
         self._lefts_ms = forecast.remaining_ms(agent)
         self._slowdown = worktimes.slowdown(agent)
         self._ahead_ms = 0
+        self._ahead_count = 0
         self._rank = None
         self._longest = []
         self._displaced = []
@@ -119,22 +121,31 @@
                 self._rank = entry.order[0]
                 self._longest.clear()
             if entry.request.is_nested or self._rank == first_rank:
-                self._ahead_ms += entry.work_ms
-            elif self._is_late(entry, self._ahead_ms):
+                self._count(entry, 1)
+            elif self._is_late(entry):
                 self._displace_for(entry)
             else:
                 self._keep(entry)
         return self._displaced
 
-    def _start_in_ms(self, ahead_ms):
-        return forecast.start_in_ms(self._lefts_ms, ahead_ms * self._slowdown)
+    def _count(self, entry, sign):
+        """Add an entry to those ahead, or take it off if `sign` is -1."""
+        self._ahead_count += sign
+        self._ahead_ms += sign * entry.work_ms
 
-    def _is_late(self, entry, ahead_ms):
-        start_ms = self._now + self._start_in_ms(ahead_ms)
+    def _start_in_ms(self):
+        """Return when a slot is free, and the pace of a cold server allows."""
+        slot_ms = forecast.start_in_ms(
+            self._lefts_ms, self._ahead_ms * self._slowdown
+        )
+        return max(slot_ms, pace.wait_ms(self._agent, self._ahead_count))
+
+    def _is_late(self, entry):
+        start_ms = self._now + self._start_in_ms()
         return start_ms > entry.start_by + MARGIN_MS
 
     def _keep(self, entry):
-        self._ahead_ms += entry.work_ms
+        self._count(entry, 1)
         heapq.heappush(
             self._longest, (-entry.work_ms, entry.request.number, entry)
         )
@@ -142,16 +153,23 @@
     def _displace_for(self, entry):
         """Refuse an entry, or a longer one ahead if that makes it punctual."""
         longest = self._longest[0][2] if self._longest else entry
-        if longest.work_ms > entry.work_ms and not self._is_late(
-            entry, self._ahead_ms - longest.work_ms
+        if longest.work_ms > entry.work_ms and self._is_punctual_without(
+            entry, longest
         ):
             heapq.heappop(self._longest)
             self._refuse(longest)
-            self._ahead_ms -= longest.work_ms
+            self._count(longest, -1)
             self._keep(entry)
         else:
             self._refuse(entry)
 
+    def _is_punctual_without(self, entry, other):
+        """Return whether an entry is not late if one ahead of it is refused."""
+        self._count(other, -1)
+        is_late = self._is_late(entry)
+        self._count(other, 1)
+        return not is_late
+
     def _refuse(self, entry):
-        wait_ms = int(self._start_in_ms(self._ahead_ms))
+        wait_ms = int(self._start_in_ms())
         self._displaced.append(Displaced(entry, wait_ms))
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -253,6 +253,22 @@
         become_cold(fleet)
         assert not len(queue)
 
+    def test_urgent_requests_displace_by_the_pace(self):
+        """Guards against requests that wait until it is too late.
+
+        All slots are free, but the pace goes to urgent requests that have come
+        later.
+        """
+        fleet = cold_fleet()
+        become_cold(fleet, 3 * COLD_MS)
+        send_ranked(fleet, 0, 3, target_ms=1500)
+        send_ranked(fleet, 2, 1, target_ms=2500)
+        agent = fleet.agents['m0']
+        assert agent.queue.last_rank == 2
+        send_ranked(fleet, 0, 6, target_ms=9000)
+        assert len(agent.queue) > 6
+        assert agent.queue.last_rank == 0
+
     def test_displaced_callers_go_to_other_hosts(self):
         """Guards against refusals of displaced requests that others can serve.
 
