Send nothing for 100 ms after a pause in which a bound may have ended

The first tick after a pause may read what callers have sent before what the store has said, and sent it to a server whose domain was evacuated long ago.

--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -46,6 +46,9 @@
 
 def _may_send(agent, now):
     """Return whether the backend server may be sent any request now."""
+    if now < domains.hears_store_until(agent):
+        agent.wake_at(domains.hears_store_until(agent))
+        return False
     is_closed = admission.is_closed(agent.backend, now)
     return not is_closed and domains.may_start(agent, now)
 
--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -11,6 +11,9 @@
 # The own server gets no request in the last part of the bound: this agent has
 # learned of the evacuation later than the store has acknowledged it.
 MARGIN_MS = 1500
+# After a long pause nothing is sent for this time, so that an evacuation which
+# the store has reported meanwhile is read first.
+HEARING_MS = 100
 # Responses that have arrived during a pause of this process are read within
 # this time after it.
 RESUME_MS = 1000
@@ -73,6 +76,18 @@
     return evacuation.begun_at is not None and now < ends_at(agent, evacuation)
 
 
+def hears_store_until(agent):
+    """Return until when nothing is sent after a pause, 0 if it was short.
+
+    The bound of an evacuation may have ended during a long one.
+    """
+    if agent.resumed_at is None:
+        return 0
+    if agent.resumed_at - agent.paused_at < _allowed_ms(agent):
+        return 0
+    return agent.resumed_at + HEARING_MS
+
+
 def is_bound_over(agent, domain, now):
     """Return whether hosts of a domain have certainly stopped their work.
 
@@ -90,8 +105,7 @@
 
     The evacuation must have a known begin.
     """
-    allowed_ms = agent.settings.bounds.evacuation_ms - MARGIN_MS
-    return evacuation.begun_at + max(0, allowed_ms)
+    return evacuation.begun_at + _allowed_ms(agent)
 
 
 def known_domains(agent):
@@ -103,6 +117,11 @@
     }
 
 
+def _allowed_ms(agent):
+    """Return how long requests may be sent after the begin of an evacuation."""
+    return max(0, agent.settings.bounds.evacuation_ms - MARGIN_MS)
+
+
 def _latest_known_begin(agent, read, now):
     """Return when new evacuations of a read had begun at the latest, or None.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -164,6 +164,23 @@
             fleet.run(10)
         assert not scene.starts('m0', resumed_at + fleetstore.WATCH_POLL_MS)
 
+    def test_nothing_is_sent_before_the_store_is_heard_after_a_pause(self):
+        """Guards against sends after the bound by the first tick of an agent.
+
+        What callers and the store have sent during the pause is read in any
+        order.
+        """
+        fleet = Scene().fleet
+        fleet.paused.add('m0')
+        fleet.run(4000)
+        forward = test_mesh_late_input.forward(routes.Kind.SAFE)
+        fleet.post('m0', messages.ForwardArrived(90_000, 'b1', forward))
+        fleet.paused.clear()
+        fleet.run(domains.HEARING_MS - 10)
+        assert not fleet.backends['m0'].started
+        fleet.run(20)
+        assert fleet.backends['m0'].started
+
     def test_bound_counts_from_the_last_response_of_the_store(self):
         """Guards against an agent that learns of it after an outage."""
         scene = Scene()
