--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -7,7 +7,6 @@
 import attrs
 
 from laburnumlatch.mesh import balancing
-from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leaving
@@ -17,10 +16,10 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.evacuation import domains
-from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import queue
+from laburnumlatch.mesh.pacing import serverload
 
 # A queued request is refused once the time to its deadline is less than this
 # share of its expected work time.
@@ -49,28 +48,6 @@
                     forecast.expected_wait_ms(agent)
                 ),
             )
-    for displaced in displacement.find(agent, now):
-        _refuse_displaced(agent, displaced)
-
-
-def _refuse_displaced(agent, displaced):
-    request = displaced.entry.request
-    counting.count(agent, 'requests_displaced', route=request.route)
-    decisions.record(
-        agent,
-        request,
-        'displaced',
-        wait_ms=displaced.wait_ms,
-        waited_ms=agent.now - request.arrived_at,
-        late_in_ms=int(displaced.entry.start_by) - agent.now,
-        queued=len(agent.queue),
-    )
-    requests.refuse(
-        agent,
-        request,
-        messages.Reason.NO_ROOM,
-        agent.wait_policy.retry_after_ms(displaced.wait_ms),
-    )
 
 
 @attrs.define(frozen=True)
@@ -129,7 +106,8 @@
 def _place_in_queue(agent, request, now, work_ms):
     """Return the order of a request in the queue, and its expected wait."""
     exceeded = 0
-    if len(agent.queue) or agent.backend.running >= agent.backend.slots:
+    slots = serverload.usable_slots(agent.backend)
+    if len(agent.queue) or agent.backend.running >= slots:
         exceeded = fairness.exceeded_shares(agent, request)
     order = agent.wait_policy.rank(request, exceeded)
     wait_ms = forecast.expected_wait_ms(agent, order)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -46,6 +46,9 @@
 
 def _may_send(agent, now):
     """Return whether the backend server may be sent any request now."""
+    if now < domains.hears_store_until(agent):
+        agent.wake_at(domains.hears_store_until(agent))
+        return False
     is_closed = admission.is_closed(agent.backend, now)
     return not is_closed and domains.may_start(agent, now)
 
@@ -95,7 +98,7 @@
     regions.record_send(agent, request, now)
     request.exchange += 1
     request.started_at = now
-    pace.count_send(agent, now)
+    pace.count_send(agent, request, now)
     agent.running.put(request, worktimes.found_running_ms(agent, request))
     agent.outbox.post(
         messages.Send(
--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -1,4 +1,4 @@
-"""Finds queued requests that more urgent ones have displaced.
+"""System: refuses queued requests that more urgent ones have displaced.
 
 Requests that arrive may go ahead of those in the queue. A request that can no
 longer start within its bound is refused at once, while its caller has time to
@@ -9,8 +9,14 @@
 
 import attrs
 
+from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import decisions
+from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import placement
+from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.pacing import pace
 
 # Without new requests, the forecast is repeated after this time: the server may
 # have become slow.
@@ -28,6 +34,46 @@
     wait_ms: int
 
 
+def run(agent, now):
+    """Refuse displaced requests, or have other hosts chosen for them."""
+    for displaced in find(agent, now):
+        _refuse(agent, displaced, now)
+
+
+def _refuse(agent, displaced, now):
+    """Refuse a request as not run, unless another host can serve it in time.
+
+    The agent that forwarded a request chooses for it, and a key has one owner.
+    """
+    request = displaced.entry.request
+    left_ms = int(displaced.entry.start_by) - now
+    counting.count(agent, 'requests_displaced', route=request.route)
+    decisions.record(
+        agent,
+        request,
+        'displaced',
+        wait_ms=displaced.wait_ms,
+        waited_ms=now - request.arrived_at,
+        late_in_ms=left_ms,
+        queued=len(agent.queue),
+    )
+    is_placed_here = not request.sender and not agent.is_divided(
+        request.service
+    )
+    if is_placed_here and placement.has_room_elsewhere(
+        agent, request, now, left_ms
+    ):
+        request.tried_hosts.append(agent.host_id)
+        requests.place_again(agent, request)
+        return
+    requests.refuse(
+        agent,
+        request,
+        messages.Reason.NO_ROOM,
+        agent.wait_policy.retry_after_ms(displaced.wait_ms),
+    )
+
+
 def find(agent, now):
     """Return the `Displaced` entries of the queue, at most once a tick.
 
@@ -61,6 +107,7 @@
         self._lefts_ms = forecast.remaining_ms(agent)
         self._slowdown = worktimes.slowdown(agent)
         self._ahead_ms = 0
+        self._ahead_count = 0
         self._rank = None
         self._longest = []
         self._displaced = []
@@ -74,22 +121,31 @@
                 self._rank = entry.order[0]
                 self._longest.clear()
             if entry.request.is_nested or self._rank == first_rank:
-                self._ahead_ms += entry.work_ms
-            elif self._is_late(entry, self._ahead_ms):
+                self._count(entry, 1)
+            elif self._is_late(entry):
                 self._displace_for(entry)
             else:
                 self._keep(entry)
         return self._displaced
 
-    def _start_in_ms(self, ahead_ms):
-        return forecast.start_in_ms(self._lefts_ms, ahead_ms * self._slowdown)
+    def _count(self, entry, sign):
+        """Add an entry to those ahead, or take it off if `sign` is -1."""
+        self._ahead_count += sign
+        self._ahead_ms += sign * entry.work_ms
+
+    def _start_in_ms(self):
+        """Return when a slot is free, and the pace of a cold server allows."""
+        slot_ms = forecast.start_in_ms(
+            self._lefts_ms, self._ahead_ms * self._slowdown
+        )
+        return max(slot_ms, pace.wait_ms(self._agent, self._ahead_count))
 
-    def _is_late(self, entry, ahead_ms):
-        start_ms = self._now + self._start_in_ms(ahead_ms)
+    def _is_late(self, entry):
+        start_ms = self._now + self._start_in_ms()
         return start_ms > entry.start_by + MARGIN_MS
 
     def _keep(self, entry):
-        self._ahead_ms += entry.work_ms
+        self._count(entry, 1)
         heapq.heappush(
             self._longest, (-entry.work_ms, entry.request.number, entry)
         )
@@ -97,16 +153,23 @@
     def _displace_for(self, entry):
         """Refuse an entry, or a longer one ahead if that makes it punctual."""
         longest = self._longest[0][2] if self._longest else entry
-        if longest.work_ms > entry.work_ms and not self._is_late(
-            entry, self._ahead_ms - longest.work_ms
+        if longest.work_ms > entry.work_ms and self._is_punctual_without(
+            entry, longest
         ):
             heapq.heappop(self._longest)
             self._refuse(longest)
-            self._ahead_ms -= longest.work_ms
+            self._count(longest, -1)
             self._keep(entry)
         else:
             self._refuse(entry)
 
+    def _is_punctual_without(self, entry, other):
+        """Return whether an entry is not late if one ahead of it is refused."""
+        self._count(other, -1)
+        is_late = self._is_late(entry)
+        self._count(other, 1)
+        return not is_late
+
     def _refuse(self, entry):
-        wait_ms = int(self._start_in_ms(self._ahead_ms))
+        wait_ms = int(self._start_in_ms())
         self._displaced.append(Displaced(entry, wait_ms))
--- a/tests/test_mesh_cold_servers.py
+++ b/tests/test_mesh_cold_servers.py
@@ -1,5 +1,7 @@
 """Backend servers that are cold: the pace at which they get requests."""
 
+import attrs
+
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import messages
@@ -46,6 +48,20 @@
         fleet.run(10)
 
 
+def send_ranked(fleet, rank, count, target_ms):
+    """Forward requests of a rank to `m0`; they may not run twice."""
+    for _ in range(count):
+        number = next(fleet.request_numbers)
+        request = attrs.evolve(
+            test_mesh_late_input.forward(routes.Kind.ONCE, number),
+            priority=rank,
+            target_ms=target_ms,
+            time_left_ms=3 * target_ms,
+        )
+        fleet.post('m0', messages.ForwardArrived(number, 'b0', request))
+    fleet.run(2)
+
+
 def most_in_a_second(fleet, since=0):
     """Return the most requests that `m0` got within any second."""
     times = [at for at, _id in fleet.backends['m0'].started if at >= since]
@@ -135,6 +151,28 @@
         fleet.run(1)
         assert before < spent + 1 <= agent.backend.start_tokens
 
+    def test_misdirected_requests_among_many(self):
+        """Guards against 421 that give back what other requests have taken.
+
+        Sends to a busy warm server are counted up to a debt of one second, so
+        most of them take nothing.
+        """
+        fleet = cold_fleet()
+        send_many(fleet, SECOND_MS)
+        agent = fleet.agents['m0']
+        for request in list(agent.running)[:4]:
+            refused = messages.ExchangeFailed(
+                request.number,
+                request.exchange,
+                messages.Phase.REFUSED,
+                messages.Reason.NOT_OWNER,
+            )
+            fleet.post('m0', refused)
+        become_cold(fleet)
+        since = fleet.now
+        send_many(fleet, 800)
+        assert most_in_a_second(fleet, since=since) == 0
+
 
 class TestOtherHosts:
     """Many senders, of which each alone sends little to a cold host."""
@@ -215,6 +253,62 @@
         become_cold(fleet)
         assert not len(queue)
 
+    def test_urgent_requests_displace_by_the_pace(self):
+        """Guards against requests that wait until it is too late.
+
+        All slots are free, but the pace goes to urgent requests that have come
+        later.
+        """
+        fleet = cold_fleet()
+        become_cold(fleet, 3 * COLD_MS)
+        send_ranked(fleet, 0, 3, target_ms=1500)
+        send_ranked(fleet, 2, 1, target_ms=2500)
+        agent = fleet.agents['m0']
+        assert agent.queue.last_rank == 2
+        send_ranked(fleet, 0, 6, target_ms=9000)
+        assert len(agent.queue) > 6
+        assert agent.queue.last_rank == 0
+
+    def test_displaced_callers_go_to_other_hosts(self):
+        """Guards against refusals of displaced requests that others can serve.
+
+        Urgent requests from elsewhere join ahead of those of callers here.
+        """
+        fleet = cold_fleet(others=2)
+        agent = fleet.agents['m0']
+        agent.hosts.get('m1').avoid_until = fleet.now + 5
+        for _ in range(3):
+            for _ in range(4):
+                fleet.call('m0', '/')
+            fleet.run(1)
+        queued = [request.number for request in agent.queue]
+        assert queued
+        fleet.run(5)
+        send_ranked(fleet, 0, 20, target_ms=3000)
+        assert not {request.number for request in agent.queue}.intersection(
+            queued
+        )
+        fleet.run(300)
+        outcomes = [fleet.outcomes[number] for number in queued]
+        assert {type(outcome) for outcome in outcomes} == {messages.Deliver}
+
+    def test_queued_callers_without_another_host(self):
+        """Guards against callers that are parked although no host is left.
+
+        They are told at once, and when the cold server will have room.
+        """
+        fleet = cold_fleet()
+        for _ in range(3):
+            for _ in range(5):
+                fleet.call('m0', '/')
+            fleet.run(1)
+        queued = {request.number for request in fleet.agents['m0'].queue}
+        assert queued
+        become_cold(fleet)
+        fleet.run(1)
+        reasons = {fleet.outcomes[number].reason for number in queued}
+        assert reasons == {messages.Reason.NO_ROOM}
+
     def test_queued_callers_go_to_other_hosts(self):
         """Guards against refusals of queued requests that others can serve."""
         fleet = cold_fleet(others=2)
@@ -258,6 +352,23 @@
         become_cold(fleet, 0)
         assert not coldness.remaining_ms(agent, fleet.now)
 
+    def test_unknown_cold_time(self):
+        """Guards against the usual rate as an announcement is unreadable.
+
+        What was believed stays; a new life is cold for the configured time.
+        """
+        fleet = cold_fleet()
+        agent = fleet.agents['m0']
+        for is_new, expected_ms in ((True, COLD_MS), (False, COLD_MS - 1)):
+            if is_new:
+                fleet.backends['m0'].restart()
+            announced = attrs.evolve(
+                fleet.backends['m0'].announce(), cold_ms=None
+            )
+            fleet.post('m0', announced)
+            fleet.run(1)
+            assert coldness.remaining_ms(agent, agent.now) == expected_ms
+
     def test_new_life_before_its_announcement(self):
         """Guards against the usual rate to a new life that is not known yet.
 
