Refuse no request by the forecast while a slot is free for it

The forecast divided the work ahead among the slots, also if fewer requests were ahead than slots were free, and counted requests for keys that are still moving here as work ahead of those that may start at once. Requests that run beyond the slots of the server no longer count as slots that become free.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -9,7 +9,6 @@
 from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import decisions
-from laburnumlatch.mesh import holdings
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import requests
@@ -21,6 +20,7 @@
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import queue
+from laburnumlatch.mesh.overload import startable
 
 # A queued request is refused once the time to its deadline is less than this
 # share of its expected work time.
@@ -132,34 +132,25 @@
     if len(agent.queue) or agent.backend.running >= agent.backend.slots:
         exceeded = fairness.exceeded_shares(agent, request)
     order = agent.wait_policy.rank(request, exceeded)
-    wait_ms = forecast.expected_wait_ms(agent, order)
+    has_key = startable.may_start(agent, request, now)
+    wait_ms = forecast.expected_wait_ms(agent, order, has_key=has_key)
     if request.is_nested:
         is_late = now + wait_ms + work_ms > request.origin_target_end
         if is_late:
             order = agent.wait_policy.late_rank(request)
-            return order, forecast.expected_wait_ms(agent, order)
+            wait_ms = forecast.expected_wait_ms(agent, order, has_key=has_key)
     return order, wait_ms
 
 
 def startable_requests(agent, now):
     """Return the queued requests that may start now, in starting order."""
     return [
-        request for request in agent.queue if may_start(agent, request, now)
+        request
+        for request in agent.queue
+        if startable.may_start(agent, request, now)
     ]
 
 
-def may_start(agent, request, now):
-    """Return whether this host may run a request now.
-
-    A request with a key of a service divided by key may start only while the
-    local backend server holds that key.
-    """
-    key = request.head.key
-    if key is None or not agent.is_divided(request.service):
-        return True
-    return holdings.may_start(agent, key, now)
-
-
 def is_closed(backend, now):
     """Return whether a leaving backend server accepts no requests any more."""
     return backend.closing_at is not None and now >= backend.closing_at
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -11,6 +11,7 @@
 from laburnumlatch.mesh.evacuation import domains
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
+from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 from laburnumlatch.mesh.pacing import serverload
 
@@ -31,16 +32,16 @@
     free_slots = serverload.usable_slots(backend) - backend.running
     free_starts = min(free_slots, pace.free_starts(agent, now))
     if free_starts > 0:
-        startable = admission.startable_requests(agent, now)
-        _start_next(agent, startable, free_starts, now)
+        waiting = admission.startable_requests(agent, now)
+        _start_next(agent, waiting, free_starts, now)
     if len(agent.queue):
         pace.wake_at_next_start(agent, now)
 
 
-def _start_next(agent, startable, count, now):
+def _start_next(agent, waiting, count, now):
     """Start up to `count` of the requests that may start."""
-    for _ in range(min(count, len(startable))):
-        request = floor.next_to_start(agent, startable)
+    for _ in range(min(count, len(waiting))):
+        request = floor.next_to_start(agent, waiting)
         _start(agent, request, agent.backend, now)
 
 
@@ -73,7 +74,7 @@
     By now this host may have to release the key, the backend server may be
     leaving or cold, or the bound of an evacuation may be over.
     """
-    if not _may_send(agent, now) or not admission.may_start(
+    if not _may_send(agent, now) or not startable.may_start(
         agent, request, now
     ):
         return False
--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -11,6 +11,7 @@
 
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import startable
 
 # Without new requests, the forecast is repeated after this time: the server may
 # have become slow.
@@ -60,6 +61,7 @@
         self._now = now
         self._lefts_ms = forecast.remaining_ms(agent)
         self._slowdown = worktimes.slowdown(agent)
+        self._last_with_room = startable.last_place_with_room(agent)
         self._ahead_ms = 0
         self._rank = None
         self._longest = []
@@ -69,11 +71,12 @@
         """Return the `Displaced` entries."""
         entries = self._agent.queue.entries()
         first_rank = entries[0].order[0]
-        for entry in entries:
+        for place, entry in enumerate(entries):
             if entry.order[0] != self._rank:
                 self._rank = entry.order[0]
                 self._longest.clear()
-            if entry.request.is_nested or self._rank == first_rank:
+            is_kept = entry.request.is_nested or self._rank == first_rank
+            if is_kept or self._starts_at_once(entry, place):
                 self._ahead_ms += entry.work_ms
             elif self._is_late(entry, self._ahead_ms):
                 self._displace_for(entry)
@@ -81,6 +84,11 @@
                 self._keep(entry)
         return self._displaced
 
+    def _starts_at_once(self, entry, place):
+        return place <= self._last_with_room and startable.may_start(
+            self._agent, entry.request, self._now
+        )
+
     def _start_in_ms(self, ahead_ms):
         return forecast.start_in_ms(self._lefts_ms, ahead_ms * self._slowdown)
 
--- a/laburnumlatch/mesh/overload/forecast.py
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -3,6 +3,7 @@
 import itertools
 
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 from laburnumlatch.mesh.pacing import serverload
 
@@ -10,6 +11,8 @@
 def remaining_ms(agent):
     """Return how long each slot stays occupied, in ms, shortest time first.
 
+    If more requests run than there are slots, the first ones that end free
+    none.
     Requests that are found running are half finished on average. What is left
     by the time since their start is no better a forecast in the loads of
     `overloadloads`, as work times vary.
@@ -21,7 +24,8 @@
     slots = serverload.usable_slots(agent.backend)
     free_slots = max(0, slots - len(lefts_ms))
     lefts_ms.extend(itertools.repeat(0, free_slots))
-    return sorted(lefts_ms)
+    lefts_ms.sort()
+    return lefts_ms[len(lefts_ms) - slots :]
 
 
 def start_in_ms(lefts_ms, ahead_ms):
@@ -37,18 +41,23 @@
     return worktimes.SERVER_DOWN_WAIT_MS
 
 
-def expected_wait_ms(agent, order=None):
+def expected_wait_ms(agent, order=None, *, has_key=True):
     """Return how long a new request would wait in the queue here, in ms.
 
     It waits for a slot and, while the server is cold, for the pace. Only
     queued requests that start before `order` count; all count if it is None.
+    One whose key is not held here, which `has_key` tells, waits behind all of
+    them, so that the queue is bounded while keys move.
     """
     backend = agent.backend
     if backend is None or not backend.slots:
         return worktimes.SERVER_DOWN_WAIT_MS
-    ahead_ms = agent.queue.work_ms_before(order)
-    pace_ms = pace.wait_ms(agent, agent.queue.count_before(order))
-    if backend.running < serverload.usable_slots(backend) and not ahead_ms:
+    place = agent.queue.count_before(order)
+    pace_ms = pace.wait_ms(agent, place)
+    free_slots = serverload.usable_slots(backend) - len(agent.running)
+    if place < free_slots:
         return pace_ms
-    ahead_ms *= worktimes.slowdown(agent)
+    if has_key and place <= startable.last_place_with_room(agent):
+        return pace_ms
+    ahead_ms = agent.queue.work_ms_before(order) * worktimes.slowdown(agent)
     return max(pace_ms, int(start_in_ms(remaining_ms(agent), ahead_ms)))
--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -10,6 +10,7 @@
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 
 # Owners report the waits of this many ranks; less urgent ranks count as the
@@ -43,22 +44,37 @@
     if agent.backend is None or not agent.backend.slots:
         return ()
     count = min(max(MIN_RANKS, agent.queue.last_rank + 1), MAX_RANKS)
-    lefts_ms = forecast.remaining_ms(agent)
+    forecasts = _Forecasts(agent)
     return tuple(
-        _wait_ms(
-            agent,
-            (rank, False, fairness.has_domain_exceeded(agent, rank, request)),
-            lefts_ms,
-        )
+        forecasts.wait_ms((
+            rank,
+            False,
+            fairness.has_domain_exceeded(agent, rank, request),
+        ))
         for rank in range(count)
     )
 
 
-def _wait_ms(agent, order, lefts_ms):
-    """Return the wait behind all of an order, for a slot and for the pace."""
-    ahead_ms = agent.queue.work_ms_before(order) * worktimes.slowdown(agent)
-    start_ms = int(forecast.start_in_ms(lefts_ms, ahead_ms))
-    return max(start_ms, pace.wait_ms(agent, agent.queue.count_before(order)))
+class _Forecasts:
+    """Waits behind different parts of the queue as it is now."""
+
+    def __init__(self, agent):
+        """Find out what is the same for all of them."""
+        self._agent = agent
+        self._lefts_ms = forecast.remaining_ms(agent)
+        self._slowdown = worktimes.slowdown(agent)
+        self._last_with_room = startable.last_place_with_room(agent)
+
+    def wait_ms(self, order):
+        """Return the wait behind all of an order, for a slot and the pace."""
+        queue = self._agent.queue
+        place = queue.count_before(order)
+        pace_ms = pace.wait_ms(self._agent, place)
+        if place <= self._last_with_room:
+            return pace_ms
+        ahead_ms = queue.work_ms_before(order) * self._slowdown
+        start_ms = int(forecast.start_in_ms(self._lefts_ms, ahead_ms))
+        return max(start_ms, pace_ms)
 
 
 def expected_wait_ms(host, rank, now):
--- a/laburnumlatch/mesh/overload/queue.py
+++ b/laburnumlatch/mesh/overload/queue.py
@@ -57,6 +57,11 @@
         """Iterate over the requests as they are now, in starting order."""
         return iter([entry.request for entry in self.entries()])
 
+    def in_order(self):
+        """Iterate as `__iter__` does, while the queue does not change."""
+        for _order, number in self._keys:
+            yield self._entries[number].request
+
     def entries(self):
         """Return each `Entry`, in starting order."""
         return [self._entries[number] for _order, number in self._keys]
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -1,7 +1,6 @@
 """Services that are short of capacity: who waits, and who is refused."""
 
 import itertools
-import math
 import random
 import statistics
 from unittest import mock
@@ -14,6 +13,7 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetload
 from laburnumlatch.experiments import overloadloads
+from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peermsg
 from laburnumlatch.mesh import requests
@@ -23,10 +23,14 @@
 from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
+from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import owners
 from laburnumlatch.mesh.overload import queue
 
 PATTERNS = overloadloads.patterns()
+# Keys that b0 holds and does not hold.
+HERE = 1
+ELSEWHERE = 65_000
 
 
 def forward(**fields):
@@ -227,6 +231,52 @@
         )
 
 
+class TestForecast:
+    """Waits that are expected while slots are free."""
+
+    def test_stuck_requests_leave_other_slots_usable(self):
+        """Guards against a refusal beside a free slot.
+
+        Two of four slots run requests that take far too long. The forecast
+        multiplied the work of the first request, which takes a free slot, by
+        their slowdown, and refused the second one that came in the same tick.
+        """
+        agent = _agent_with_slots(4)
+        for slot in (100, 101):
+            _run(agent, slot, agent.now - 60_000)
+        agent.backend.running = 2
+        assert [_enqueue(agent, number) for number in (1, 2)] == [None, None]
+        assert _enqueue(agent, 3).reason == messages.Reason.NO_ROOM
+
+    def test_requests_for_moving_keys_hold_up_no_others(self):
+        """Guards against refusals while all slots are free.
+
+        Twenty requests wait for keys that this server does not hold yet. They
+        counted as work ahead of requests that may start at once.
+        """
+        agent = _agent_with_slots(4)
+        for number in range(20):
+            _join(agent, 100 + number, 0, 100, 300, key=ELSEWHERE)
+        assert owners.waits_by_rank(agent, _running(1, agent.now))[2] == 0
+        assert _enqueue(agent, 1) is None
+        assert not displacement.find(agent, agent.now)
+        unheld = _enqueue(agent, 2, key=ELSEWHERE)
+        assert unheld.reason == messages.Reason.NO_ROOM
+
+    def test_slots_that_are_taken_away_free_none(self):
+        """Guards against waits that are too short after a loss of slots.
+
+        Four requests run, and the server now takes two at a time: it has room
+        only once three of them have ended.
+        """
+        agent = _agent_with_slots(4)
+        for slot in range(4):
+            agent.running.put(_running(slot, agent.now), 100 * (slot + 1))
+        agent.backend.running = 4
+        agent.backend.load.slots = 2
+        assert forecast.remaining_ms(agent) == [150, 200]
+
+
 class TestFairness:
     """Callers of equal rank at servers that are short of capacity."""
 
@@ -244,7 +294,7 @@
         0.06 without fairness, 0.90 and 0.95 with it.
         """
         after = PATTERNS[name].measure({})
-        monkeypatch.setattr(fairness, 'TOLERANCE', math.inf)
+        monkeypatch.setattr(fairness, 'TOLERANCE', float('inf'))
         before = PATTERNS[name].measure({})
         for other in others:
             assert after[other].in_time > 2 * before[other].in_time
@@ -365,15 +415,33 @@
     return agent
 
 
-def _run(agent, slot):
-    request = _running(slot, agent.now)
+def _agent_with_slots(slots):
+    """Return the agent of b0, whose server has `slots` free slots."""
+    agent = overloadloads.deployment().agents['b0']
+    agent.backend.slots = slots
+    return agent
+
+
+def _enqueue(agent, number, key=HERE):
+    """Queue a request; return the `admission.Rejection`, or None."""
+    request = _running(number, agent.now)
+    request.origin_deadline = request.deadline
+    request.head = attrs.evolve(request.head, key=key)
+    return admission.enqueue(agent, request, agent.now)
+
+
+def _run(agent, slot, started_at=None):
+    request = _running(slot, agent.now if started_at is None else started_at)
     usual_ms = worktimes.found_running_ms(agent, request)
     agent.running.put(request, usual_ms)
 
 
-def _join(agent, number, rank, work_ms, start_in_ms, *, is_nested=False):
+def _join(
+    agent, number, rank, work_ms, start_in_ms, *, is_nested=False, key=HERE
+):
     request = _running(number, agent.now)
     request.is_nested = is_nested
+    request.head = attrs.evolve(request.head, key=key)
     agent.queue.join(
         queue.Entry(
             request,
