Forget the work of former routes also while nothing waits

Old work was dropped only as a request was about to be queued, so a server with free slots kept the sums of each route that it had ever run.

--- a/laburnumlatch/mesh/overload/fairness.py
+++ b/laburnumlatch/mesh/overload/fairness.py
@@ -20,6 +20,8 @@
 MIN_WORK_MS = 1
 # How often the hosts of each domain are counted.
 COUNT_INTERVAL_MS = 1000
+# How often old work is dropped.
+DROP_INTERVAL_MS = 1000
 
 
 @attrs.define
@@ -44,13 +46,14 @@
 
     `by_route` and `by_domain` have a `_Usage` by rank and name. `host_counts`
     has the number of hosts of each domain, by which its share is weighted, as
-    it was at `counted_at`.
+    it was at `counted_at`. Old work was dropped last at `dropped_at`.
     """
 
     by_route: dict = attrs.Factory(_new_usages)
     by_domain: dict = attrs.Factory(_new_usages)
     host_counts: collections.Counter = attrs.Factory(collections.Counter)
     counted_at: int = 0
+    dropped_at: int = 0
 
 
 def record_start(agent, request, work_ms):
@@ -58,6 +61,10 @@
     if request.is_nested:
         return
     usages = agent.usages
+    if agent.now >= usages.dropped_at + DROP_INTERVAL_MS:
+        usages.dropped_at = agent.now
+        _drop_old(usages.by_route, agent.now)
+        _drop_old(usages.by_domain, agent.now)
     for table, name in (
         (usages.by_route, request.route),
         (usages.by_domain, _domain_of(agent, request)),
@@ -80,8 +87,6 @@
         usages.host_counts = collections.Counter(
             host.record.domain for host in agent.hosts
         )
-        _drop_old(usages.by_route, agent.now)
-        _drop_old(usages.by_domain, agent.now)
     by_route = usages.by_route[request.rank]
     by_domain = usages.by_domain[request.rank]
     domain = _domain_of(agent, request)
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -328,6 +328,19 @@
         fairness.exceeded_shares(agent, last)
         assert list(agent.usages.by_route[1]) == ['asset']
 
+    def test_idle_servers_forget_former_routes(self):
+        """Guards against memory that grows while nothing has to wait.
+
+        Old work was forgotten only as a request was about to be queued.
+        """
+        agent = _busy_agent(100)
+        for number in range(100):
+            request = _running(number, agent.now)
+            request.route = f'route-{number}'
+            fairness.record_start(agent, request, 100)
+            agent.now += 1000
+        assert len(agent.usages.by_route[1]) < 30
+
 
 class TestOwners:
     """What the agent of a caller knows about the owner of a key."""
