Refuse at the ingress only what its owner would refuse

The sender took the work time that the owner reports, with its slowdown, off the time left, and refused requests that the owner would have queued.

--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -94,11 +94,10 @@
     is_old = now - host.reported_at > MAX_REPORT_AGE_MS
     if request.is_nested or is_old or not host.in_flight or not host.waits:
         return None
-    work_ms = host.work_ms.get(request.route)
-    if work_ms is None:
-        work_ms = worktimes.work_ms_elsewhere(agent, request)
-    slack_ms = request.deadline - now - work_ms
-    longest_ms = int(agent.wait_policy.max_wait_ms(request, slack_ms))
+    # The work time that the owner expects is not known: what it reports is
+    # multiplied by its slowdown.
+    left_ms = request.deadline - now
+    longest_ms = int(agent.wait_policy.max_wait_ms(request, left_ms))
     wait_ms = int(expected_wait_ms(host, request.rank, now))
     if wait_ms <= longest_ms * MARGIN_RATIO:
         return None
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -383,6 +383,23 @@
         nested = attrs.evolve(request, is_nested=True)
         assert not owners.refusal(agent, nested, host, agent.now)
 
+    def test_what_the_owner_would_accept_is_sent(self):
+        """Guards against refusals for work that only the sender thinks long.
+
+        The owner bounds the wait by the usual work time. Senders used the one
+        it reports, which is three times as long while the server is slow.
+        """
+        agent = overloadloads.deployment().agents['m0']
+        host = agent.hosts.get('b0')
+        host.waits = (0, 60)
+        host.reported_at = agent.now
+        host.in_flight = 1
+        host.work_ms['asset'] = 600
+        request = _running(1, agent.now)
+        assert not owners.refusal(agent, request, host, agent.now)
+        host.waits = (0, 100)
+        assert owners.refusal(agent, request, host, agent.now)
+
     def test_waits_are_told_by_rank(self):
         """Guards against urgent callers refused for a queue of others."""
         fleet = overloadloads.deployment()
