Show the waits of all ranks to senders

Operators' files give priorities from 0 to 9, and owners reported the waits of ranks 0 to 7. For the others a host with a full queue looked free.

--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -13,10 +13,10 @@
 from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 
-# Owners report the waits of this many ranks; less urgent ranks count as the
-# last one.
+# Owners report the waits of this many ranks. Operators' files give at most ten
+# priorities; other platforms may give more.
 MIN_RANKS = 3
-MAX_RANKS = 8
+MAX_RANKS = 10
 # A host may have refused requests for a reason that is over by now.
 MAX_REPORT_AGE_MS = 1000
 # An owner may start a request ahead of some of its rank, so that a wait a
@@ -78,10 +78,13 @@
 
 
 def expected_wait_ms(host, rank, now):
-    """Return the last reported wait of a rank, less the age of the report."""
+    """Return the last reported wait of a rank, less the age of the report.
+
+    Ranks without a reported one wait for all that are queued.
+    """
     wait_ms = host.wait_ms
-    if host.waits:
-        wait_ms = host.waits[min(max(0, rank), len(host.waits) - 1)]
+    if rank < len(host.waits):
+        wait_ms = host.waits[max(0, rank)]
     return max(0, wait_ms - (now - host.reported_at))
 
 
@@ -90,10 +93,13 @@
 
     A request passes if no other one is on its way there, so that its response
     renews the figures. Nested calls pass as well: their refusal costs most.
+    Ranks beyond `MAX_RANKS` pass, as others behind them may be queued there.
     """
     is_old = now - host.reported_at > MAX_REPORT_AGE_MS
     if request.is_nested or is_old or not host.in_flight or not host.waits:
         return None
+    if request.rank >= MAX_RANKS:
+        return None
     # The work time that the owner expects is not known: what it reports is
     # multiplied by its slowdown.
     left_ms = request.deadline - now
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -400,6 +400,22 @@
         host.waits = (0, 100)
         assert owners.refusal(agent, request, host, agent.now)
 
+    def test_every_rank_has_a_wait(self):
+        """Guards against a full host that looks free to unusual priorities.
+
+        A platform may give priorities beyond those that owners report.
+        """
+        agent = overloadloads.deployment().agents['m0']
+        host = agent.hosts.get('b0')
+        host.wait_ms = 900
+        host.waits = tuple(itertools.repeat(0, owners.MAX_RANKS))
+        host.reported_at = agent.now
+        host.in_flight = 1
+        assert owners.expected_wait_ms(host, 10**6, agent.now) == 900
+        assert owners.expected_wait_ms(host, 0, agent.now) == 0
+        request = attrs.evolve(_running(1, agent.now), rank=10**6)
+        assert not owners.refusal(agent, request, host, agent.now)
+
     def test_waits_are_told_by_rank(self):
         """Guards against urgent callers refused for a queue of others."""
         fleet = overloadloads.deployment()
