--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -16,6 +16,7 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
+from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 
 # Without new requests, the forecast is repeated after this time: the server may
@@ -106,6 +107,7 @@
         self._now = now
         self._lefts_ms = forecast.remaining_ms(agent)
         self._slowdown = worktimes.slowdown(agent)
+        self._last_with_room = startable.last_place_with_room(agent)
         self._ahead_ms = 0
         self._ahead_count = 0
         self._rank = None
@@ -116,11 +118,12 @@
         """Return the `Displaced` entries."""
         entries = self._agent.queue.entries()
         first_rank = entries[0].order[0]
-        for entry in entries:
+        for place, entry in enumerate(entries):
             if entry.order[0] != self._rank:
                 self._rank = entry.order[0]
                 self._longest.clear()
-            if entry.request.is_nested or self._rank == first_rank:
+            is_kept = entry.request.is_nested or self._rank == first_rank
+            if is_kept or self._starts_at_once(entry, place):
                 self._count(entry, 1)
             elif self._is_late(entry):
                 self._displace_for(entry)
@@ -128,6 +131,11 @@
                 self._keep(entry)
         return self._displaced
 
+    def _starts_at_once(self, entry, place):
+        return place <= self._last_with_room and startable.may_start(
+            self._agent, entry.request, self._now
+        )
+
     def _count(self, entry, sign):
         """Add an entry to those ahead, or take it off if `sign` is -1."""
         self._ahead_count += sign
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -154,9 +154,7 @@
         has_room = guard.has_room(
             account, callerexchanges.cost_bytes(head)
         ) and (
-            is_too_large
-            or not size
-            or guard.has_room_for_body(account, size)
+            is_too_large or not size or guard.has_room_for_body(account, size)
         )
         is_refused = is_too_large or not has_room
         exchange = self._exchanges.append(
