--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -32,7 +32,7 @@
 # Larger numbers in header fields count as this one, 30 years in ms. Python
 # converts no more than 4,300 digits, and a float or a message between agents
 # takes far fewer.
-MAX_NUMBER = 10**12
+MAX_NUMBER = 1_000_000_000_000
 
 _log = logs.logger('callers')
 
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -59,13 +59,11 @@
     events,
     server,
     request_id,
-    fresh=False,
     body=b'',
     time_left_ms=1000,
-    method=None,
+    method='GET',
 ):
     """Send a request; return the event that reports its end."""
-    method = method or ('POST' if body else 'GET')
     head = messages.Head(method, '/x', 'h.example', (), request_id)
     client.carry_out(
         messages.Send(
@@ -76,7 +74,7 @@
             head=head,
             body=body,
             time_left_ms=time_left_ms,
-            fresh_connection=fresh,
+            fresh_connection=False,
         )
     )
     return await asyncio.wait_for(events.get(), 3)
@@ -142,7 +140,7 @@
     return b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (proof, rest)
 
 
-async def event_for(response, method=None):
+async def event_for(response, method='GET'):
     """Return the event that the client posts for the bytes of a response."""
     server = OneResponseServer(response)
     await server.start()
@@ -262,7 +260,7 @@
     events = asyncio.Queue()
     client = create_client(events.put_nowait)
     event = await send_request(
-        client, events, server, 'r1', body=b'x' * size, time_left_ms=20_000
+        client, events, server, 'r1', b'x' * size, 20_000, method='POST'
     )
     await client.stop()
     return event
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -255,7 +255,7 @@
             writer.write(fronts.get('/a', *fields))
             await responder.wait_for('/a')
             writer.close()
-        arrived = responder.arrived['/a']
+            arrived = responder.arrived['/a']
         assert arrived.time_left_ms == callerfront.MAX_NUMBER
         assert arrived.head.key is None
 
