Compare running requests with the slots that the server takes now

A server may take fewer requests than it has announced. With all of these stuck, none was retried on a new connection, and no slowdown showed.

--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -21,6 +21,7 @@
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.overload import queue
 from laburnumlatch.mesh.overload import startable
+from laburnumlatch.mesh.pacing import serverload
 
 # A queued request is refused once the time to its deadline is less than this
 # share of its expected work time.
@@ -129,7 +130,8 @@
 def _place_in_queue(agent, request, now, work_ms):
     """Return the order of a request in the queue, and its expected wait."""
     exceeded = 0
-    if len(agent.queue) or agent.backend.running >= agent.backend.slots:
+    slots = serverload.usable_slots(agent.backend)
+    if len(agent.queue) or agent.backend.running >= slots:
         exceeded = fairness.exceeded_shares(agent, request)
     order = agent.wait_policy.rank(request, exceeded)
     has_key = startable.may_start(agent, request, now)
--- a/laburnumlatch/mesh/silence.py
+++ b/laburnumlatch/mesh/silence.py
@@ -10,6 +10,7 @@
 from laburnumlatch.mesh import dispatch
 from laburnumlatch.mesh import expiry
 from laburnumlatch.mesh import worktimes
+from laburnumlatch.mesh.pacing import serverload
 
 CHECK_INTERVAL_MS = 100
 # A late request counts as stuck once this many requests of its route that
@@ -27,7 +28,9 @@
 def run(agent, now):
     """Retry one late request if all slots are taken and none finishes."""
     backend = agent.backend
-    if backend is None or backend.running < backend.slots:
+    if backend is None:
+        return
+    if backend.running < serverload.usable_slots(backend):
         return
     if not agent.due('silence', CHECK_INTERVAL_MS, now):
         return
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -87,7 +87,8 @@
     backend = agent.backend
     if backend is None:
         return 1
-    min_count = max(1, backend.slots * MIN_BUSY_SLOT_RATIO)
+    slots = serverload.usable_slots(backend)
+    min_count = max(1, slots * MIN_BUSY_SLOT_RATIO)
     totals = agent.running.totals_of(route)
     if totals.count < min_count:
         # A few long requests are no evidence of a slow server.
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -1,6 +1,5 @@
 """Services that are short of capacity: who waits, and who is refused."""
 
-import itertools
 import random
 import statistics
 from unittest import mock
@@ -19,6 +18,7 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import displacement
 from laburnumlatch.mesh.overload import fairness
@@ -125,7 +125,7 @@
         agent.backend.slots = 6
         rng = random.Random(1)
         figures = []
-        ends = list(itertools.repeat(0, 6))
+        ends = [0 for _ in range(6)]
         starts = list(ends)
         for now in range(agent.now, agent.now + 60_000):
             agent.now = now
@@ -276,6 +276,23 @@
         agent.backend.load.slots = 2
         assert forecast.remaining_ms(agent) == [150, 200]
 
+    def test_fewer_usable_slots_show_that_they_are_stuck(self):
+        """Guards against a server whose silence and slowness nobody sees.
+
+        It announces eight slots but takes two requests now. Both have run for
+        far too long; that was compared with eight slots.
+        """
+        agent = _agent_with_slots(8)
+        agent.backend.load.slots = 2
+        agent.work_times.put('asset', rows.WorkTime(50, mean_square=50**2))
+        for slot in (1, 2):
+            _run(agent, slot, agent.now - 400)
+        agent.backend.running = 2
+        agent.backend.last_response = agent.now - 400
+        assert worktimes.slowdown(agent) > 4
+        silence.run(agent, agent.now)
+        assert agent.outbox.take(messages.Send)
+
 
 class TestFairness:
     """Callers of equal rank at servers that are short of capacity."""
@@ -408,7 +425,7 @@
         agent = overloadloads.deployment().agents['m0']
         host = agent.hosts.get('b0')
         host.wait_ms = 900
-        host.waits = tuple(itertools.repeat(0, owners.MAX_RANKS))
+        host.waits = tuple(0 for _ in range(owners.MAX_RANKS))
         host.reported_at = agent.now
         host.in_flight = 1
         assert owners.expected_wait_ms(host, 10**6, agent.now) == 900
