--- a/laburnumlatch/platform/responseparser.py
+++ b/laburnumlatch/platform/responseparser.py
@@ -123,6 +123,8 @@
     def on_headers_complete(self):
         """Pass on the head; called by httptools."""
         self._is_in_head = False
+        if self._problem:
+            return
         parser = self._parser
         status = parser.get_status_code()
         self._is_interim = MIN_INTERIM_STATUS <= status <= MAX_INTERIM_STATUS
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -141,13 +141,17 @@
     return b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (proof, rest)
 
 
-async def event_for(response):
+async def event_for(response, method='GET'):
     """Return the event that the client posts for the bytes of a response."""
     server = OneResponseServer(response)
     await server.start()
     events = asyncio.Queue()
     client = create_client(events.put_nowait)
-    event = await send_request(client, events, server, 'r1')
+    head = messages.Head(method, '/x', 'h.example', (), 'r1')
+    client.carry_out(
+        messages.Send(1, 1, server.address, 'i', head, b'', 1000, False)
+    )
+    event = await asyncio.wait_for(events.get(), 3)
     await client.stop()
     return event
 
@@ -322,6 +326,14 @@
         assert isinstance(event, messages.ExchangeFailed)
         assert event.phase == messages.Phase.SENT
 
+    async def test_invalid_status_is_no_response_to_head(self):
+        """Guards against a HEAD that gets what follows an invalid response."""
+        response = b'HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n'
+        response += sealed(b'Content-Length: 1\r\n\r\n')
+        event = await event_for(response, method='HEAD')
+        assert isinstance(event, messages.ExchangeFailed)
+        assert event.phase == messages.Phase.SENT
+
     @pytest.mark.parametrize('status', [b'100', b'102', b'199'])
     async def test_interim_response_is_skipped(self, status):
         """Guards against taking an interim response for the final one."""
