Close no callers for a body that is refused anyway

A head that announced more than max_body_bytes, or more than all requests may hold, made the guard close every connection that held a body and moved little, in calm too.

--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -97,6 +97,10 @@
         """Return whether a body would fit if no other were held."""
         return size <= self._max_bytes
 
+    def request_may_ever_fit(self, size):
+        """Return whether the body of a request would fit if it were alone."""
+        return size <= self._max_request_bytes
+
     def hold(self, size):
         """Count bytes of a body as held."""
         self._body_bytes += size
--- a/laburnumlatch/platform/callerguard.py
+++ b/laburnumlatch/platform/callerguard.py
@@ -91,8 +91,10 @@
     def has_room_for_body(self, account, size):
         """Return whether a connection may hold so much more of a body.
 
-        If need be, others are closed.
+        If need be, others are closed, unless the body could not fit alone.
         """
+        if not self.memory.request_may_ever_fit(size):
+            return False
         return self.memory.fits_request(size) or self._make_room(
             lambda: self.memory.fits_request(size),
             lambda other: (
--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -147,10 +147,13 @@
         size = head.body_bytes or 0
         guard = self._front.guard
         account = self._connection.account
+        is_too_large = size > self._front.limits.body_bytes
+        # A body that is refused anyway is no reason to close others for it.
         has_room = guard.has_room(
             account, callerexchanges.cost_bytes(head)
-        ) and (not size or guard.has_room_for_body(account, size))
-        is_too_large = size > self._front.limits.body_bytes
+        ) and (
+            is_too_large or not size or guard.has_room_for_body(account, size)
+        )
         is_refused = is_too_large or not has_room
         exchange = self._exchanges.append(
             self._connection, head, 0 if is_refused else head.body_bytes
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -8,6 +8,7 @@
 from laburnumlatch.core import bodymemory
 from laburnumlatch.core import clock
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import calleraccounts
 from laburnumlatch.platform import callerguard
@@ -109,6 +110,17 @@
         assert guarded.guard.has_room(idle.account, HELD_BYTES)
         assert not idle.is_closed
 
+    def test_nobody_is_closed_for_a_body_that_never_fits(self):
+        """Guards against callers who are cut off for a refused request."""
+        guarded = Guarded()
+        idle = guarded.connect()
+        newcomer = guarded.connect()
+        guarded.pass_time(newcomer)
+        assert not guarded.guard.has_room_for_body(
+            newcomer.account, PROCESS_BYTES // 2
+        )
+        assert not idle.is_closed
+
     def test_one_address_leaves_room_for_others(self):
         """Guards against one caller address that shuts out all others."""
         guarded = Guarded()
@@ -199,6 +211,21 @@
             assert float(response.fields['retry-after']) > 0
             assert not responder.arrived
 
+    async def test_too_large_body_closes_nobody(self):
+        """Guards against callers who are cut off for a refused request."""
+        async with fronts.responding() as responder:
+            responder.change_limits(routes.Limits(body_bytes=1000))
+            asked = []
+            responder.front.guard.has_room_for_body = lambda _account, size: (
+                asked.append(size) or True
+            )
+            reader, writer = await responder.connect()
+            writer.write(fronts.put('/a', bytes(1001)))
+            response = await fronts.read_response(reader)
+            writer.close()
+        assert response.status == 413
+        assert not asked
+
     async def test_partial_head_is_counted_and_freed(self):
         """Guards against heads without end that nothing counts."""
         async with fronts.responding() as responder:
