--- a/laburnumlatch/platform/requestreader.py
+++ b/laburnumlatch/platform/requestreader.py
@@ -91,6 +91,8 @@
 
         Returns whether more is to be parsed in the next pass of the loop.
         """
+        # The configuration may have changed since the connection was opened.
+        self._parser.max_head_bytes = self._front.max_head_bytes
         left_bytes = PASS_BYTES
         while self._read_ahead and left_bytes > 0 and self._may_parse():
             size = self._parser.piece_bytes
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -226,6 +226,19 @@
         assert response.status == 413
         assert not asked
 
+    async def test_raised_limit_holds_for_open_connections(self):
+        """Guards against 431 for heads that the configuration allows."""
+        async with fronts.responding() as responder:
+            reader, writer = await responder.connect()
+            writer.write(fronts.get('/a'))
+            await responder.wait_for('/a')
+            responder.change_limits(routes.Limits(header_bytes=60_000))
+            responder.answer('/a')
+            assert (await fronts.read_response(reader)).status == 200
+            writer.write(fronts.get('/b', f'X-Long: {"x" * 50_000}'))
+            await responder.wait_for('/b')
+            writer.close()
+
     async def test_partial_head_is_counted_and_freed(self):
         """Guards against heads without end that nothing counts."""
         async with fronts.responding() as responder:
