Bound the numbers in header fields of callers

A time limit of some 310 digits or more raised OverflowError where the agent computed a Retry-After, and ended the tick. One of more than 4,300 digits failed while the request was posted: its connection stayed open for ever and counted as one that waits for the agent.

--- a/laburnumlatch/platform/callerfront.py
+++ b/laburnumlatch/platform/callerfront.py
@@ -29,6 +29,10 @@
 # Time between two checks for callers who take too long.
 CHECK_INTERVAL_S = 0.5
 KEY_COUNT = 65_536
+# Larger numbers in header fields count as this one, 30 years in ms. Python
+# converts no more than 4,300 digits, and a float or a message between agents
+# takes far fewer.
+MAX_NUMBER = 1_000_000_000_000
 
 _log = logs.logger('callers')
 
@@ -246,7 +250,13 @@
 
 
 def _parse_number(text):
-    """Return a number written in ASCII digits, None if `text` is not one."""
+    """Return a number written in ASCII digits, None if `text` is not one.
+
+    It is at most `MAX_NUMBER`.
+    """
     if text is None or not (text.isascii() and text.isdecimal()):
         return None
-    return int(text)
+    digits = text.lstrip('0') or '0'
+    if len(digits) > len(str(MAX_NUMBER)):
+        return MAX_NUMBER
+    return min(int(digits), MAX_NUMBER)
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -4,6 +4,7 @@
 import itertools
 
 import attrs
+import pytest
 
 from laburnumlatch.core import bodymemory
 from laburnumlatch.core import clock
@@ -11,6 +12,7 @@
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import calleraccounts
+from laburnumlatch.platform import callerfront
 from laburnumlatch.platform import callerguard
 from laburnumlatch.platform import readahead
 from tests import fronts
@@ -239,6 +241,24 @@
             await responder.wait_for('/b')
             writer.close()
 
+    @pytest.mark.parametrize('digits', [400, 5000])
+    async def test_numbers_of_many_digits_are_bounded(self, digits):
+        """Guards against numbers that fail where they are converted.
+
+        Python reads no text of more than 4,300 digits, which left a request
+        open for ever, and no float takes 400, which ended a tick.
+        """
+        number = '9' * digits
+        async with fronts.responding() as responder:
+            _reader, writer = await responder.connect()
+            fields = f'X-Deadline-Ms: {number}', f'X-Shard-Key: {number}'
+            writer.write(fronts.get('/a', *fields))
+            await responder.wait_for('/a')
+            writer.close()
+            arrived = responder.arrived['/a']
+        assert arrived.time_left_ms == callerfront.MAX_NUMBER
+        assert arrived.head.key is None
+
     async def test_partial_head_is_counted_and_freed(self):
         """Guards against heads without end that nothing counts."""
         async with fronts.responding() as responder:
