--- a/laburnumlatch/platform/serverconnection.py
+++ b/laburnumlatch/platform/serverconnection.py
@@ -18,6 +18,9 @@
 DEFAULT_KEEP_MS = 4000
 # A connection is not used this shortly before the server closes it.
 KEEP_MARGIN_MS = 500
+# A longer time in `Keep-Alive` is ignored. Python converts no more than 4,300
+# digits, and 9 of them are 30 years.
+MAX_KEEP_DIGITS = 9
 
 _log = logs.logger('backend')
 
@@ -264,6 +267,7 @@
     """Return how long a connection may rest behind a response, in ms."""
     for parameter in head.get('Keep-Alive', '').lower().split(','):
         name, _equals, seconds = parameter.strip().partition('=')
-        if name == 'timeout' and seconds.isascii() and seconds.isdecimal():
+        is_number = seconds.isascii() and seconds.isdecimal()
+        if name == 'timeout' and is_number and len(seconds) <= MAX_KEEP_DIGITS:
             return int(seconds) * clock.MS_PER_S - KEEP_MARGIN_MS
     return DEFAULT_KEEP_MS
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -161,6 +161,17 @@
             await exchanges.send('b', is_safe=True)
             assert exchanges.server.seen == [0, 1]
 
+    async def test_endless_keep_time_is_ignored(self):
+        """Guards against a connection that is neither kept nor closed.
+
+        Python converts no text of more than 4,300 digits.
+        """
+        field = f'Keep-Alive: timeout={"9" * 5000}'
+        async with talking(sealed('a', field), sealed('b')) as exchanges:
+            await exchanges.send('a', is_safe=True)
+            await exchanges.send('b', is_safe=True)
+            assert exchanges.server.seen == [0, 0]
+
     async def test_connection_with_an_unsent_body_is_not_used(self):
         """Guards against a request in the place of the rest of a body.
 
