Let a busy host hand requests back while others are left to choose

Cause: an agent with little traffic hears of each of 28 hosts every ten seconds, so requests queue at one host while others have free slots; the busiest server of an undivided service had 1.7 times the mean.

Change: the sender tells the longest wait, a tenth of the target; a host that would let the request wait longer hands it back, at most twice, and the sender chooses again by the figures that came with it. New figures of the queue come with each such refusal. Part of the policy in force; the baselines do not hand back.

--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -35,6 +35,8 @@
     'or descriptors were short.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
+    'requests_redirected': 'Choices of a further host for a request that the '
+    'host before did not keep.',
     'requests_refused_early': 'Requests refused because the owner of their '
     'key reports a wait that is too long.',
     'requests_displaced': 'Queued requests refused because more urgent ones '
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -32,10 +32,12 @@
     """Orders the queue of a backend server and bounds the wait in it.
 
     `displaces` is whether queued requests are refused as soon as more urgent
-    ones keep them from starting within their bound.
+    ones keep them from starting within their bound. `hands_back` is whether a
+    busy host hands a request back while its sender has others to choose from.
     """
 
     displaces = False
+    hands_back = False
 
     @abc.abstractmethod
     def rank(self, request, exceeded=0):
@@ -77,6 +79,7 @@
     """
 
     displaces = True
+    hands_back = True
 
     def rank(self, request, exceeded=0):
         """Rank urgent requests first, then those whose time ends soonest.
