--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -50,9 +50,9 @@
 
     Of requests of one rank, the longest is refused in place of a shorter one
     that would be late: so most of them start in time. Those of the most urgent
-    rank in the queue are not displaced, as nothing joins ahead of them. Nested
-    calls are left in the queue until they cannot end in time, since a refusal
-    wastes the work on their request and the forecast is not certain.
+    rank in the queue are not displaced, as no other rank joins ahead of them.
+    Nested calls are left in the queue until they cannot end in time, since a
+    refusal wastes the work on their request and the forecast is not certain.
     """
 
     def __init__(self, agent, now):
