--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -37,8 +37,6 @@
     'requests_repeated': 'Retries of safe requests.',
     'requests_redirected': 'Choices of a further host for a request that the '
     'host before did not keep.',
-    'requests_refused_early': 'Requests refused because the owner of their '
-    'key reports a wait that is too long.',
     'requests_displaced': 'Queued requests refused because more urgent ones '
     'joined the queue.',
     'exchanges_failed': 'Exchanges that ended without a response.',
--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -1,12 +1,9 @@
-"""What an agent knows about the queues of the hosts that own keys.
+"""What an agent knows about the queues of other hosts.
 
-Owners report the wait in their queue by rank with each response. The agent of
-the caller refuses at once what the owner would refuse: that spares both the way
-there, and the caller learns sooner when to come back.
+Hosts report the wait in their queue by rank with each response, by which the
+others choose among them.
 """
 
-import attrs
-
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import forecast
@@ -17,19 +14,6 @@
 # priorities; other platforms may give more.
 MIN_RANKS = 3
 MAX_RANKS = 10
-# A host may have refused requests for a reason that is over by now.
-MAX_REPORT_AGE_MS = 1000
-# An owner may start a request ahead of some of its rank, so that a wait a
-# little beyond the bound is no certain refusal.
-MARGIN_RATIO = 1.1
-
-
-@attrs.define(frozen=True)
-class Refusal:
-    """The wait that is expected at an owner, and the longest one, in ms."""
-
-    wait_ms: int
-    longest_wait_ms: int
 
 
 def waits_by_rank(agent, request):
@@ -86,25 +70,3 @@
     if rank < len(host.waits):
         wait_ms = host.waits[max(0, rank)]
     return max(0, wait_ms - (now - host.reported_at))
-
-
-def refusal(agent, request, host, now):
-    """Return a `Refusal` if the owner is certain to refuse a request, or None.
-
-    A request passes if no other one is on its way there, so that its response
-    renews the figures. Nested calls pass as well: their refusal costs most.
-    Ranks beyond `MAX_RANKS` pass, as others behind them may be queued there.
-    """
-    is_old = now - host.reported_at > MAX_REPORT_AGE_MS
-    if request.is_nested or is_old or not host.in_flight or not host.waits:
-        return None
-    if request.rank >= MAX_RANKS:
-        return None
-    # The work time that the owner expects is not known: what it reports is
-    # multiplied by its slowdown.
-    left_ms = request.deadline - now
-    longest_ms = int(agent.wait_policy.max_wait_ms(request, left_ms))
-    wait_ms = int(expected_wait_ms(host, request.rank, now))
-    if wait_ms <= longest_ms * MARGIN_RATIO:
-        return None
-    return Refusal(wait_ms, longest_ms)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -13,7 +13,6 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
-from laburnumlatch.mesh.overload import owners
 from laburnumlatch.mesh.overload import redirects
 from laburnumlatch.mesh.pacing import coldness
 
@@ -45,7 +44,7 @@
         requests.park(agent, request, messages.Reason.NO_HOST)
     elif host.host_id == agent.host_id:
         _place_here(agent, request, now)
-    elif not _is_refused_early(agent, request, host, now):
+    else:
         _forward(agent, request, host, now)
 
 
@@ -56,32 +55,6 @@
         _handle_rejection(agent, request, rejection, now)
 
 
-def _is_refused_early(agent, request, host, now):
-    """Refuse what the owner of a key would refuse; return whether it did."""
-    if not agent.is_divided(request.service):
-        return False
-    refusal = owners.refusal(agent, request, host, now)
-    if refusal is None:
-        return False
-    counting.count(agent, 'requests_refused_early', service=request.service)
-    decisions.record(
-        agent,
-        request,
-        'owner-full',
-        host=host.host_id,
-        wait_ms=refusal.wait_ms,
-        longest_wait_ms=refusal.longest_wait_ms,
-        report_age_ms=now - host.reported_at,
-    )
-    requests.refuse(
-        agent,
-        request,
-        messages.Reason.NO_ROOM,
-        agent.wait_policy.retry_after_ms(refusal.wait_ms),
-    )
-    return True
-
-
 def has_untried_host(agent, request, now):
     """Return whether another host of an undivided service can be tried."""
     return any(
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -360,62 +360,7 @@
 
 
 class TestOwners:
-    """What the agent of a caller knows about the owner of a key."""
-
-    def test_fewer_requests_go_to_full_owners(self, monkeypatch):
-        """Guards against requests that are sent to an owner that refuses them.
-
-        Requests refused by owners, seed 1: more than twice as many if the
-        agents of callers do not use the reported waits. Nobody is locked out.
-        """
-        monkeypatch.setattr(requests, 'end', mock.Mock(wraps=requests.end))
-        refused = []
-        for max_age_ms in (-1, owners.MAX_REPORT_AGE_MS):
-            monkeypatch.setattr(owners, 'MAX_REPORT_AGE_MS', max_age_ms)
-            requests.end.reset_mock()
-            shares = PATTERNS['burst-of-a-domain'].measure({})
-            assert 1 - shares['fault@d1'].in_time < 1 / 5
-            refused.append(sum(bool(call.args[1].sender) for call in _ends()))
-        before, after = refused
-        assert after * 4 < before * 3
-
-    def test_old_figures_lock_nobody_out(self):
-        """Guards against senders that never send again to a host once full.
-
-        A request passes if none is on its way, and when the figure is old. A
-        nested call passes, and a rank that waits less.
-        """
-        agent = overloadloads.deployment().agents['m0']
-        host = agent.hosts.get('b0')
-        request = _running(1, agent.now)
-        host.waits = (0, 5000)
-        host.reported_at = agent.now
-        assert not owners.refusal(agent, request, host, agent.now)
-        host.in_flight = 1
-        assert owners.refusal(agent, request, host, agent.now)
-        later = agent.now + owners.MAX_REPORT_AGE_MS + 1
-        assert not owners.refusal(agent, request, host, later)
-        urgent = attrs.evolve(request, rank=0)
-        assert not owners.refusal(agent, urgent, host, agent.now)
-        nested = attrs.evolve(request, is_nested=True)
-        assert not owners.refusal(agent, nested, host, agent.now)
-
-    def test_what_the_owner_would_accept_is_sent(self):
-        """Guards against refusals for work that only the sender thinks long.
-
-        The owner bounds the wait by the usual work time. Senders used the one
-        it reports, which is three times as long while the server is slow.
-        """
-        agent = overloadloads.deployment().agents['m0']
-        host = agent.hosts.get('b0')
-        host.waits = (0, 60)
-        host.reported_at = agent.now
-        host.in_flight = 1
-        host.work_ms['asset'] = 600
-        request = _running(1, agent.now)
-        assert not owners.refusal(agent, request, host, agent.now)
-        host.waits = (0, 100)
-        assert owners.refusal(agent, request, host, agent.now)
+    """What an agent knows about the queues of other hosts."""
 
     def test_every_rank_has_a_wait(self):
         """Guards against a full host that looks free to unusual priorities.
@@ -427,11 +372,8 @@
         host.wait_ms = 900
         host.waits = tuple(0 for _ in range(owners.MAX_RANKS))
         host.reported_at = agent.now
-        host.in_flight = 1
         assert owners.expected_wait_ms(host, 10**6, agent.now) == 900
         assert owners.expected_wait_ms(host, 0, agent.now) == 0
-        request = attrs.evolve(_running(1, agent.now), rank=10**6)
-        assert not owners.refusal(agent, request, host, agent.now)
 
     def test_waits_are_told_by_rank(self):
         """Guards against urgent callers refused for a queue of others."""
