Let a nested call keep its own rank if that is more urgent

Cause: a call of a less urgent request queued behind all callers of the called service, and held a slot of its own server meanwhile.

--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -61,7 +61,9 @@
     request = _request_of_caller(agent, arrived, route, now)
     if parent is not None:
         request.is_nested = True
-        request.rank = parent.rank
+        # A call that waits holds a slot of the server that made it. Behind the
+        # callers of the called service, it would hold that until its deadline.
+        request.rank = min(request.priority, parent.rank)
         request.origin_deadline = min(parent.deadline, parent.origin_deadline)
         request.parent_route = parent.route
         request.origin_target_end = parent.origin_target_end
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -290,9 +290,9 @@
 
     `is_nested` marks a call made by a request that runs at a backend server.
     `parent_route` is the route of that request, known on its host only. `rank`
-    is the priority of the request that began the chain of calls,
-    `origin_deadline` the time at which that one must end, and
-    `origin_target_end` the end of its target time; for other requests they
+    is the more urgent of its own priority and that of the request that began
+    the chain of calls, `origin_deadline` the time at which that one must end,
+    and `origin_target_end` the end of its target time; for other requests they
     are their own.
 
     `regions` are those whose hosts the request may reach, None if all.
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -73,9 +73,10 @@
 class ValueWaitPolicy(WaitPolicy):
     """Delays or refuses first what costs callers least.
 
-    A nested call has the rank of the request that began it. Refusing it wastes
-    the work on that request, so it may wait as long as its response is of use.
-    The wait of other requests is bounded by their target.
+    A nested call has its own rank or that of the request that began it, the
+    more urgent one. Refusing it wastes the work on that request, so it may wait
+    as long as its response is of use. The wait of other requests is bounded by
+    their target.
     """
 
     displaces = True
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -94,6 +94,20 @@
         assert nested.rank == 0
         assert nested.origin_deadline == call.origin_deadline
 
+    @pytest.mark.parametrize(('rank', 'expected'), [(0, 0), (9, 1)])
+    def test_call_keeps_the_more_urgent_rank(self, rank, expected):
+        """Guards against calls that starve while they hold a slot elsewhere.
+
+        The route of the call has priority 1; its origin is less urgent.
+        """
+        fleet = overloadloads.deployment()
+        parent = forward(rank=rank, origin_left_ms=300)
+        fleet.post('b0', messages.ForwardArrived(1000, 'm0', parent))
+        fleet.run(2)
+        number = fleet.call('b0', '/asset/', 1, 623, 'r1.0.0')
+        fleet.run(2)
+        assert fleet.agents['b0'].requests.get(number).rank == expected
+
     def test_earlier_builds_are_understood(self):
         """Guards against frames that agents of another build refuse.
 
