--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -84,8 +84,6 @@
     order, wait_ms = _place_in_queue(agent, request, now, work_ms)
     slack_ms = _useful_until(request) - now - work_ms
     max_wait_ms = int(agent.wait_policy.max_wait_ms(request, slack_ms))
-    if request.wait_limit_ms is not None:
-        max_wait_ms = min(max_wait_ms, request.wait_limit_ms)
     decisions.record(
         agent,
         request,
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -35,8 +35,6 @@
     'or descriptors were short.',
     'requests_forwarded': 'Requests forwarded to agents of other hosts.',
     'requests_repeated': 'Retries of safe requests.',
-    'requests_redirected': 'Choices of a further host for a request that the '
-    'host before did not keep.',
     'requests_displaced': 'Queued requests refused because more urgent ones '
     'joined the queue.',
     'exchanges_failed': 'Exchanges that ended without a response.',
--- a/laburnumlatch/mesh/intake.py
+++ b/laburnumlatch/mesh/intake.py
@@ -193,7 +193,6 @@
         plan_version=forward.plan_version,
         is_nested=forward.is_nested,
         regions=regions.binding_of_forward(forward),
-        wait_limit_ms=forward.wait_limit_ms,
     )
 
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -259,8 +259,6 @@
     one must end, and `origin_target_left_ms` the time until the end of its
     target time, negative if it is over; they are None otherwise. `regions` are
     those whose hosts the request and its nested calls may reach, None if all.
-    A host at which the request would wait for more than `wait_limit_ms` hands
-    it back; None if there is no such limit.
     """
 
     number: int
@@ -279,7 +277,6 @@
     origin_left_ms: int | None = None
     origin_target_left_ms: int | None = None
     regions: tuple[str, ...] | None = None
-    wait_limit_ms: int | None = None
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/placement.py
+++ b/laburnumlatch/mesh/placement.py
@@ -13,7 +13,6 @@
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh.evacuation import domains
-from laburnumlatch.mesh.overload import redirects
 from laburnumlatch.mesh.pacing import coldness
 
 # While one request probes a host that could not be reached, others avoid the
@@ -171,9 +170,6 @@
     ]
     if not untried:
         return None
-    request.wait_limit_ms = redirects.wait_limit_ms(
-        agent, request, len(untried)
-    )
     warm = [
         host for host in untried if not coldness.is_host_cold(agent, host, now)
     ]
@@ -222,7 +218,6 @@
         route=request.route,
         plan_version=request.plan_version,
         is_nested=request.is_nested,
-        wait_limit_ms=request.wait_limit_ms,
         regions=regions.encode(request.regions),
         **_origin_fields(request, now),
     )
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -296,8 +296,6 @@
     are their own.
 
     `regions` are those whose hosts the request may reach, None if all.
-    `wait_limit_ms` is the longest wait for which its host keeps it while the
-    sender has others to choose from; None if there is no such limit.
 
     `later_finished` counts requests of the route that were started later but
     finished first; a retry counts as `silence.MIN_LATER_FINISHED` of them.
@@ -338,7 +336,6 @@
     origin_deadline: int = 0
     origin_target_end: int = 0
     regions: frozenset[str] | None = None
-    wait_limit_ms: int | None = None
     later_finished: int = 0
     decisions: list = attrs.Factory(list)
     is_logged_immediately: bool = False
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -22,22 +22,19 @@
 RETRY_AFTER_RATIO = 0.6
 # A nested call is refused if its forecast exceeds its slack by this ratio.
 NESTED_FORECAST_RATIO = 2
-# A request is due at this share of its time, but at this multiple of its
-# target at the latest, so that callers with long timeouts are not last.
+# A request is due at this share of its time, but at its target at the latest,
+# so that short targets go first and callers with long timeouts are not last.
 DUE_RATIO = 1 / 3
-MAX_DUE_TARGETS = 2
 
 
 class WaitPolicy(abc.ABC):
     """Orders the queue of a backend server and bounds the wait in it.
 
     `displaces` is whether queued requests are refused as soon as more urgent
-    ones keep them from starting within their bound. `hands_back` is whether a
-    busy host hands a request back while its sender has others to choose from.
+    ones keep them from starting within their bound.
     """
 
     displaces = False
-    hands_back = False
 
     @abc.abstractmethod
     def rank(self, request, exceeded=0):
@@ -80,7 +77,6 @@
     """
 
     displaces = True
-    hands_back = True
 
     def rank(self, request, exceeded=0):
         """Rank urgent requests first, then those whose time ends soonest.
@@ -94,7 +90,7 @@
             due = min(request.deadline, request.origin_target_end)
             return request.rank, False, exceeded, due
         left_ms = request.deadline - request.arrived_at
-        due_ms = min(left_ms * DUE_RATIO, request.target_ms * MAX_DUE_TARGETS)
+        due_ms = min(left_ms * DUE_RATIO, request.target_ms)
         return request.rank, False, exceeded, request.arrived_at + due_ms
 
     def late_rank(self, request):
