--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -20,6 +20,7 @@
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import planmsg
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings
 from laburnumlatch.mesh import ticks
@@ -274,7 +275,7 @@
         self._grant_transport.process_outbox(host_id, outbox)
         self._send_plans(host_id, outbox)
         self._request_transport.process_outbox(host_id, outbox)
-        if outbox.take(messages.Stopped) and host_id not in self.stopped_at:
+        if outbox.take(processmsg.Stopped) and host_id not in self.stopped_at:
             self.stopped_at[host_id] = self.now
             self.schedule(EXIT_DELAY_MS, self._end_agent, host_id, agent)
         outbox.clear()
@@ -338,3 +339,8 @@
     fleet = Fleet(hosts, seed, configuration, policies)
     fleet.run(SETTLE_MS)
     return fleet
+
+
+def ask_to_stop(fleet, host_id):
+    """Begin a planned stop of the agent on a host."""
+    fleet.post(host_id, processmsg.Stopping())
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -13,6 +13,7 @@
 from laburnumlatch.core import tables
 from laburnumlatch.core import ticking
 from laburnumlatch.mesh import choosing
+from laburnumlatch.mesh import departurerows
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import rows
@@ -41,10 +42,10 @@
       requests.
     - `deadlines`, `placements`: numbers of requests by the time at which
       they expire or a host is chosen for them again.
-    - `departures`: `rows.Departure` by `ranges.Life`, the runs of the backend
-      server that have left; `named_departures`: `rows.NamedDeparture` by
-      server ID; `departure_calls`: calls that wait until `departure_log` has
-      them, with the time at which they are answered at the latest.
+    - `departures`: `departurerows.Departure` by `ranges.Life`, the runs of the
+      backend server that have left; `named_departures`:
+      `departurerows.NamedDeparture` by server ID; `departure_calls`: calls
+      that wait until `departure_log` has them, with the time at which they are answered at the latest.
     - `split_positions`: the next position in the sequence of a split route,
       from 0 to 1, by the name of the route.
     - `region_bindings`: `regions.Binding` by request ID, for nested calls of
@@ -104,7 +105,9 @@
     departures: tables.Table = attrs.Factory(tables.Table)
     named_departures: tables.Table = attrs.Factory(tables.Table)
     departure_calls: tables.Table = attrs.Factory(tables.Table)
-    departure_log: rows.DepartureLog = attrs.Factory(rows.DepartureLog)
+    departure_log: departurerows.DepartureLog = attrs.Factory(
+        departurerows.DepartureLog
+    )
     split_positions: tables.Table = attrs.Factory(tables.Table)
     region_bindings: tables.Table = attrs.Factory(tables.Table)
     region_binding_ends: tables.DueQueue = attrs.Factory(tables.DueQueue)
--- a/laburnumlatch/mesh/counting.py
+++ b/laburnumlatch/mesh/counting.py
@@ -6,7 +6,7 @@
 
 from laburnumlatch.core import histograms
 from laburnumlatch.core import storemsg
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import rows
 
 _STORE_OUTCOMES = (
@@ -28,7 +28,7 @@
         for response in agent.inbox.peek(message_class):
             part = response.ticket.partition('/')[0]
             count(agent, 'store_calls', part=part, outcome=outcome)
-    for cut in agent.inbox.take(messages.CallersCut):
+    for cut in agent.inbox.take(processmsg.CallersCut):
         count(
             agent,
             'caller_connections_closed',
--- a/laburnumlatch/mesh/departures.py
+++ b/laburnumlatch/mesh/departures.py
@@ -13,8 +13,8 @@
 from laburnumlatch.core import versions
 from laburnumlatch.core import wire
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import departurerows
 from laburnumlatch.mesh import ranges
-from laburnumlatch.mesh import rows
 
 TICKET = 'departures/'
 READ_TICKET = 'departures/read'
@@ -62,7 +62,7 @@
     """
     if life in agent.departures:
         return
-    agent.departures.put(life, rows.Departure(life, closing_at))
+    agent.departures.put(life, departurerows.Departure(life, closing_at))
     while len(agent.departures) > MAX_DEPARTURES:
         agent.departures.pop(agent.departures.keys()[0])
     agent.timers.pop(WRITE_TICKET)
--- a/laburnumlatch/mesh/leaving.py
+++ b/laburnumlatch/mesh/leaving.py
@@ -6,7 +6,7 @@
 """
 
 from laburnumlatch.core import logs
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 
 # Callers leave an agent after two readiness checks that failed, one second
 # apart; requests that they send until then are served.
@@ -31,7 +31,7 @@
 
 def run(agent, now):
     """Start the stop on its signal, and report when the process may exit."""
-    is_signaled = bool(agent.inbox.take(messages.Stopping))
+    is_signaled = bool(agent.inbox.take(processmsg.Stopping))
     if is_signaled and agent.stopping_since is None:
         _log.info('stopping', requests=len(agent.requests))
         agent.stopping_since = now
@@ -43,7 +43,7 @@
     if is_open and now >= since + SERVE_CALLERS_MS and _is_done(agent, now):
         agent.closing_since = now
     if now >= latest_end or _has_closed(agent, now):
-        agent.outbox.post(messages.Stopped(latest_end))
+        agent.outbox.post(processmsg.Stopped(latest_end))
         return
     agent.wake_at(min(latest_end, now + _pause_ms(agent)))
 
--- a/laburnumlatch/mesh/messages.py
+++ b/laburnumlatch/mesh/messages.py
@@ -144,17 +144,6 @@
     number: int
 
 
-@records.define(frozen=True)
-class CallersCut:
-    """Connections of callers were closed because of a bound.
-
-    `reason` is `memory` or `descriptors`.
-    """
-
-    reason: str
-    connections: int
-
-
 @records.define(frozen=True)
 class ForwardArrived:
     """Another agent forwarded a request to this host.
@@ -362,22 +351,3 @@
 
     number: int
     exchange: int
-
-
-# The end of the process.
-
-
-@records.define(frozen=True)
-class Stopping:
-    """The process received the signal to stop."""
-
-
-@records.define(frozen=True)
-class Stopped:
-    """All requests have ended, or the grace period is over: end the process.
-
-    Responses that are still being taken may be sent until `ends_at`, in ms of
-    the agent's clock.
-    """
-
-    ends_at: int
--- a/laburnumlatch/mesh/ownserver.py
+++ b/laburnumlatch/mesh/ownserver.py
@@ -7,6 +7,7 @@
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import backendmsg
 from laburnumlatch.mesh import counting
+from laburnumlatch.mesh import departurerows
 from laburnumlatch.mesh import departures
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
@@ -79,7 +80,7 @@
 def _record_name(agent, departure, closing_at):
     agent.named_departures.put(
         departure.server_id,
-        rows.NamedDeparture(departure.announced_at, closing_at),
+        departurerows.NamedDeparture(departure.announced_at, closing_at),
     )
     while len(agent.named_departures) > MAX_NAMED_DEPARTURES:
         agent.named_departures.pop(agent.named_departures.keys()[0])
--- a/laburnumlatch/platform/callerguard.py
+++ b/laburnumlatch/platform/callerguard.py
@@ -8,7 +8,7 @@
 import collections
 
 from laburnumlatch.core import logs
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.platform import calleraccounts
 
 # Descriptors that the platform sets aside for files.
@@ -141,7 +141,7 @@
                 open=len(self._connections),
                 held_bytes=self.memory.held_bytes,
             )
-            self._post(messages.CallersCut(reason, number))
+            self._post(processmsg.CallersCut(reason, number))
         self._closed.clear()
 
     def _make_room(self, has_room, may_close):
--- a/laburnumlatch/platform/runner.py
+++ b/laburnumlatch/platform/runner.py
@@ -15,8 +15,8 @@
 from laburnumlatch.core import storelink
 from laburnumlatch.mesh import agentstate
 from laburnumlatch.mesh import leasemsg
-from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import peerlink
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import ticks
 from laburnumlatch.platform import backendclient
 from laburnumlatch.platform import bootfile
@@ -62,7 +62,7 @@
         self._settings_watch = settingswatch.SettingsWatch(
             path, self._engine.post
         )
-        self._engine.register(messages.Stopped, self._on_stopped)
+        self._engine.register(processmsg.Stopped, self._on_stopped)
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -116,7 +116,7 @@
 
     def _stop(self):
         self._callers.begin_stop()
-        self._engine.post(messages.Stopping())
+        self._engine.post(processmsg.Stopping())
 
     def _check_time_of_day(self):
         """Log a jump of the time of day, which nothing else here follows."""
--- a/tests/test_caller_bounds.py
+++ b/tests/test_caller_bounds.py
@@ -8,7 +8,7 @@
 
 from laburnumlatch.core import bodymemory
 from laburnumlatch.core import clock
-from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import settings
 from laburnumlatch.platform import calleraccounts
@@ -101,7 +101,7 @@
         ]
         assert closed == [True, False, False]
         guarded.guard.check()
-        assert guarded.posted == [messages.CallersCut('memory', 1)]
+        assert guarded.posted == [processmsg.CallersCut('memory', 1)]
 
     def test_nobody_is_closed_while_there_is_room(self):
         """Guards against callers who are cut off in calm."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -392,7 +392,7 @@
         """Guards against a stop that cuts off requests or keeps its keys."""
         scene = Scene('d0')
         scene.serve(300)
-        scene.fleet.post('b0', messages.Stopping())
+        fleetsim.ask_to_stop(scene.fleet, 'b0')
         scene.fleet.backends['m0'].is_draining = True
         scene.serve(7000, callers=('b1', 'm1', 'b5'))
         assert set(scene.fleet.stopped_at) == {'b0'}
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -7,6 +7,7 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import messages
 from laburnumlatch.mesh import planner
+from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import ranges
 
 # The longest lease, and a few steps of the planner.
@@ -314,7 +315,7 @@
         fleet.backends['b2'].work_ms = 900
         fleet.store.is_down = True
         key = fleet.backends['b2'].held_ranges()[0][0]
-        fleet.post('b2', messages.Stopping())
+        fleet.post('b2', processmsg.Stopping())
         while not fleet.stopped_at:
             fleet.call('m0', '/look/', key)
             fleet.run(50)
@@ -332,7 +333,7 @@
         for backend in fleet.backends.values():
             backend.work_ms = 600
         fleet.store.is_down = is_store_down
-        fleet.post('b2', messages.Stopping())
+        fleet.post('b2', processmsg.Stopping())
         numbers = []
         while not fleet.stopped_at:
             numbers.append(
@@ -352,7 +353,7 @@
         stopped, and was cut off (LOST on trouble-3 of Accra, 4 December).
         """
         fleet = fleetsim.deployment(others=3)
-        fleet.post('m1', messages.Stopping())
+        fleet.post('m1', processmsg.Stopping())
         while 'm1' in fleet.agents:
             # The nearest host of the called service is the one that stops.
             if not len(fleet.agents['m1'].requests):
--- a/tests/test_mesh_pipelining.py
+++ b/tests/test_mesh_pipelining.py
@@ -4,6 +4,7 @@
 
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 
 WORK_MS = 200
 CONNECTION = 7
@@ -109,7 +110,7 @@
     def test_served_or_refused_at_a_planned_stop(self, fleet):
         """Guards against a held request without an outcome at the stop."""
         numbers = send(fleet, LOOK, BOOK, LOOK)
-        fleet.post('m0', messages.Stopping())
+        fleet.post('m0', processmsg.Stopping())
         fleet.run(fleetsim.SETTLE_MS)
         assert all(
             isinstance(fleet.outcomes[number], messages.Deliver)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,6 +6,7 @@
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import processmsg
 
 WORK_MS = 2600
 PATIENCE_MS = 3400
@@ -39,7 +40,7 @@
 
     Calls are sent for `until_ms` after the signal. Returns their numbers.
     """
-    fleet.post(stopping, messages.Stopping())
+    fleet.post(stopping, processmsg.Stopping())
     numbers = []
     for _ in range(until_ms // GAP_MS):
         numbers.append(
