--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -12,7 +12,7 @@
 # learned of the evacuation later than the store has acknowledged it.
 MARGIN_MS = 1500
 # After a long pause nothing is sent for this time, so that an evacuation which
-# the store has reported meanwhile is read first.
+# the store reported during the pause is read first.
 HEARING_MS = 100
 # Responses that have arrived during a pause of this process are read within
 # this time after it.
@@ -123,12 +123,12 @@
 
 
 def _latest_known_begin(agent, read, now):
-    """Return when new evacuations of a read had begun at the latest, or None.
+    """Return since when new evacuations of a read may exist, None if unknown.
 
-    A watch reports them at once, unless this process was paused. They may be
-    in a full read since the last response, and since any time if there was
-    none. So the bound is never taken for longer than it is, also after an
-    outage of the store.
+    A watch reports them at once, unless this process was paused. Those of a
+    full read may be as old as the last response before it, or of any age if
+    there was none. So the bound is never assumed to end later than it does,
+    also after an outage of the store.
     """
     if not read.is_complete:
         is_resuming = (
--- a/laburnumlatch/mesh/regions.py
+++ b/laburnumlatch/mesh/regions.py
@@ -59,8 +59,8 @@
 def is_excluded(agent, request, host):
     """Return whether the regions keep a request from being served.
 
-    `host` is the one that was chosen, None if there is none: then waiting
-    helps only if a host of the service is in an allowed region.
+    `host` is the chosen one. If it is None, the request may wait for a host as
+    long as any known one of the service is in an allowed region.
     """
     if request.regions is None:
         return False
--- a/laburnumlatch/mesh/rows.py
+++ b/laburnumlatch/mesh/rows.py
@@ -113,9 +113,9 @@
 class Evacuation:
     """An operator's request to send nothing to the servers of a domain.
 
-    `begun_at` is when this agent learned of it, in ms of its clock; None if it
-    may have begun long before. `is_known` is whether there is such a domain,
-    None if that was not judged yet.
+    `begun_at` is the earliest time at which it may have begun, in ms of the
+    agent's clock; None if that is unknown. `is_known` is whether there is such
+    a domain, None as long as that is not determined.
     """
 
     domain: str
--- a/laburnumlatch/mesh/splitting.py
+++ b/laburnumlatch/mesh/splitting.py
@@ -33,7 +33,7 @@
 
 
 def drop_stale(agent):
-    """Drop the positions of routes that the configuration has no more."""
+    """Drop the positions of routes that are not in the configuration."""
     names = {route.name for route in agent.configuration.routes}
     for name, _position in agent.split_positions.items():
         if name not in names:
