--- a/laburnumlatch/mesh/overload/displacement.py
+++ b/laburnumlatch/mesh/overload/displacement.py
@@ -23,7 +23,7 @@
 # have become slow.
 INTERVAL_MS = 50
 # A forecast is off by this much and more, as work times vary. Without the
-# margin, requests are refused that would have started in time.
+# margin, requests would be refused that can start in time.
 MARGIN_MS = 50
 
 
--- a/laburnumlatch/mesh/overload/floor.py
+++ b/laburnumlatch/mesh/overload/floor.py
@@ -9,7 +9,7 @@
     `startable` is a list of the requests that may start now, in starting order.
     While less urgent requests wait, each start adds the share
     `settings.start_floor` of its work to a credit. Once the credit covers the
-    work of the first request of the class that has waited longest, that one
+    work of the first request of the rank that has waited longest, that one
     starts. Shares are of work and not of starts, as one long read takes the
     time of many short calls.
     """
@@ -29,7 +29,7 @@
 
 
 def _index_of_longest_waiting(startable):
-    """Return the index of the first request of that less urgent class."""
+    """Return the index of the first request of the longest waiting rank."""
     ranks = [request.rank for request in startable]
     oldest = min(startable[ranks.count(ranks[0]) :], key=_arrival)
     return ranks.index(oldest.rank)
--- a/laburnumlatch/mesh/overload/forecast.py
+++ b/laburnumlatch/mesh/overload/forecast.py
@@ -13,9 +13,9 @@
 
     If more requests run than there are slots, the first ones that end free
     none.
-    Requests that are found running are half finished on average. What is left
-    by the time since their start is no better a forecast in the loads of
-    `overloadloads`, as work times vary.
+
+    Each running request is taken to be half finished. To subtract the time
+    since its start is no better a forecast, as work times vary.
     """
     slowdown = worktimes.slowdown(agent)
     lefts_ms = [
--- a/laburnumlatch/mesh/overload/owners.py
+++ b/laburnumlatch/mesh/overload/owners.py
@@ -10,7 +10,7 @@
 from laburnumlatch.mesh.overload import startable
 from laburnumlatch.mesh.pacing import pace
 
-# Owners report the waits of this many ranks. Operators' files give at most ten
+# Hosts report the waits of this many ranks. Operators' files give at most ten
 # priorities; other platforms may give more.
 MIN_RANKS = 3
 MAX_RANKS = 10
@@ -64,7 +64,7 @@
 def expected_wait_ms(host, rank, now):
     """Return the last reported wait of a rank, less the age of the report.
 
-    Ranks without a reported one wait for all that are queued.
+    A rank without a reported wait has the wait behind the whole queue.
     """
     wait_ms = host.wait_ms
     if rank < len(host.waits):
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -14,9 +14,8 @@
 # Callers are asked to wait at most the time they have left, divided by this.
 RETRY_AFTER_DIVISOR = 3
 # Callers that were refused together are asked to come back at different times,
-# from this share of the expected time on. Later times than that leave capacity
-# unused: with 0.7 to 1.3 of it, 0.68 of the callers of the load `return` are
-# served in time, with 0.5 to 1 of it 0.78.
+# from this share of the expected time up to all of it. Later times leave
+# capacity unused.
 MIN_RETRY_AFTER_RATIO = 0.5
 # A request that cannot be placed is placed again after this time, at most
 # `MAX_PARKS` times. Most such requests belong to a service divided by key and
--- a/laburnumlatch/mesh/settings.py
+++ b/laburnumlatch/mesh/settings.py
@@ -49,7 +49,7 @@
     lease datagrams (UDP) from other agents. `memory_bytes` is the memory
     limit of the whole process, `max_descriptors` that of its open descriptors.
     `regions` has the region of each failure domain. `wait_policy` is a name for
-    `waiting.named`. The share `start_floor` of the work goes to the class that
+    `waiting.named`. The share `start_floor` of the work goes to the rank that
     has waited longest.
     """
 
--- a/laburnumlatch/mesh/waiting.py
+++ b/laburnumlatch/mesh/waiting.py
@@ -81,8 +81,8 @@
     def rank(self, request, exceeded=0):
         """Rank urgent requests first, then those whose time ends soonest.
 
-        Callers wait about three times as long as they would like to, so they
-        are due at a share of their time; one that comes back has less time
+        Timeouts of callers are about three times their target, so requests are
+        due at a share of their time; a caller that comes back has less time
         than a new one. A nested call is due when its origin is: the more work
         has been done on that, the sooner.
         """
