--- a/laburnumlatch/mesh/pacing/coldness.py
+++ b/laburnumlatch/mesh/pacing/coldness.py
@@ -1,8 +1,8 @@
 """Until when backend servers are cold.
 
-A server says with each announcement how long it stays cold. Only this agent
-hears its own server; other agents learn of a new run by the row of the host,
-and the rest by responses.
+A server says with each announcement how long it stays cold. Only the agent
+beside it receives its announcements. Other agents learn of a new life from the
+row of the host, and of its cold time from responses of that agent.
 """
 
 from laburnumlatch.core import logs
@@ -22,7 +22,7 @@
 
 
 def update(agent, cold_ms, now):
-    """Keep that the own server has just said it is cold for `cold_ms`.
+    """Record that the own server has announced to be cold for `cold_ms`.
 
     The newest announcement counts, also if it says less than an earlier one.
     If `cold_ms` is None, as it was unreadable, what was believed stays, and a
@@ -58,10 +58,10 @@
 
 
 def suspect(agent, now):
-    """Take the own server for cold, as it accepted no connection.
+    """Treat the own server as cold, as it accepted no connection.
 
-    It may be starting anew, and serve requests before its first announcement
-    arrives. The next announcement says what is true.
+    It may be restarting, and serve requests before its first announcement
+    arrives. The next announcement replaces this.
     """
     backend = agent.backend
     if remaining_ms(agent, now) or not cold_rate(agent):
@@ -88,7 +88,7 @@
 
 
 def expect_cold_start(agent, host, now):
-    """Take another host for cold, as its row shows a new server there.
+    """Treat another host as cold, as its row shows a new life there.
 
     The row does not say for how long; until a response of the host does, the
     cold time of the configuration counts.
--- a/laburnumlatch/mesh/pacing/coldqueue.py
+++ b/laburnumlatch/mesh/pacing/coldqueue.py
@@ -1,7 +1,7 @@
 """System: refuses queued requests that a cold server will not get in time.
 
-They were queued while it was warm. Callers and other agents that know at once
-have time left to go elsewhere.
+They were queued while it was warm. A refusal at once leaves callers and other
+agents time to go elsewhere.
 """
 
 from laburnumlatch.mesh import decisions
@@ -31,7 +31,7 @@
     """Refuse a request as not run, or have another host chosen for it.
 
     The agent that forwarded a request chooses for it, and a key has one owner.
-    Without another host the caller is told at once.
+    Without another host the request is refused at once.
     """
     decisions.record(agent, request, 'server-cold', wait_ms=wait_ms)
     reason = messages.Reason.NO_ROOM
--- a/laburnumlatch/mesh/pacing/pace.py
+++ b/laburnumlatch/mesh/pacing/pace.py
@@ -2,7 +2,7 @@
 
 A token bucket: each send takes a token, whatever it is for, and tokens come
 back at the rate that the server bears. Sends to a warm server take tokens too,
-so that one that becomes cold rests from what it has just been sent.
+so that what a server was sent just before it becomes cold counts.
 """
 
 import math
@@ -18,8 +18,8 @@
 # Of the sends that the bound of the deployment allows beyond the rate, the
 # burst takes at most this share.
 MAX_BURST_SHARE = 0.5
-# A server that becomes cold rests from what it was sent within this time, the
-# one for which the bound counts.
+# Sends to a warm server take tokens down to a debt of what comes back in this
+# time. The bound of the deployment counts sends over the same time.
 MAX_DEBT_S = 1
 # Sums of fractions may end just below a whole token.
 ROUNDING = 1e-6
--- a/laburnumlatch/mesh/pacing/serverload.py
+++ b/laburnumlatch/mesh/pacing/serverload.py
@@ -7,11 +7,11 @@
 
 import math
 
-# How long a machine stays slow, about. A report that is older says less and
-# less: its figure returns to the usual one by half in this time.
+# About how long a machine stays slow. In this time, half of what a report
+# differs from the usual slowness is forgotten.
 SLOW_HALF_LIFE_MS = 400
-# Over this time the usual speed is averaged, which the planner uses too: keys
-# must not move for a slow moment.
+# The time over which the usual slowness is averaged. The planner uses that, as
+# keys must not move for a slow moment.
 USUAL_MS = 10_000
 # A report stands for this time at most, so that one after a long pause does
 # not replace the mean.
@@ -22,7 +22,7 @@
 
 
 def update(agent, report, work_ms, now):
-    """Keep a `messages.ServerLoadReport` of the own server; None is ignored.
+    """Record a `messages.ServerLoadReport` of the own server, unless None.
 
     `work_ms` is how long the request usually takes with whose response it
     came: the slowness is averaged over about that time.
