Comments: no measured figures beside constants, plainer bounds of callers

The objects of 800 idle connections took 5,018 bytes each; attrs' own methods took a third of the processor time of the imports; an agent takes 53 MB before any caller has connected.

--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -18,8 +18,8 @@
 # Heads, bytes that were not parsed yet, and the objects of connections and
 # requests. They have a share of their own, which long bodies cannot take.
 SMALL_SHARE = 0.15
-# An agent takes 53 MB before any caller has connected; the rest is for memory
-# that the allocator keeps.
+# For the agent before any caller has connected, and for freed memory that the
+# allocator keeps.
 RESERVED_BYTES = 65_000_000
 # From here on, callers who hold much and move little are cut off.
 PRESSED_SHARE = 0.35
@@ -111,13 +111,13 @@
         self._wake_waiters()
 
     def adjust_small(self, more_bytes):
-        """Hold bytes that are of no body, or release a negative number."""
+        """Count bytes of no body as held; a negative number releases them."""
         self._small_bytes += more_bytes
         if more_bytes < 0:
             self._wake_waiters()
 
     def adjust(self, more_bytes):
-        """Hold bytes of a body, or release them if the number is negative."""
+        """Count bytes of a body as held; a negative number releases them."""
         if more_bytes > 0:
             self.hold(more_bytes)
         else:
--- a/laburnumlatch/core/records.py
+++ b/laburnumlatch/core/records.py
@@ -1,7 +1,7 @@
 """Rows and messages: attrs classes whose comparison is not generated code.
 
-attrs compiles methods of its own for each class, which was a third of the
-processor time of the imports. `define` leaves only `__init__` to it.
+attrs compiles methods of its own for each class, which would take a large part
+of the processor time of a start. `define` leaves only `__init__` to it.
 """
 
 import functools
--- a/laburnumlatch/platform/__main__.py
+++ b/laburnumlatch/platform/__main__.py
@@ -16,8 +16,8 @@
 
     Invalid settings are reported on standard error.
     """
-    # Nearly all that imports create stays, so that searches for garbage among
-    # it would be in vain, now and later.
+    # Nearly all objects that imports create stay, so that searches for garbage
+    # among them find nothing.
     gc.disable()
     bytecode.install()
     # Imported here, as only later imports use the bytecode.
--- a/laburnumlatch/platform/calleraccounts.py
+++ b/laburnumlatch/platform/calleraccounts.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-# The objects of one connection: 800 resting ones took 5,018 bytes each.
+# The objects of one connection.
 CONNECTION_BYTES = 5120
 # The share of what small things may take that one caller address may have.
 ADDRESS_SHARE = 0.75
@@ -46,12 +46,12 @@
         return self.held_bytes / rate
 
     def adjust(self, more_bytes):
-        """Hold bytes of a body, or release them if the number is negative."""
+        """Count bytes of a body as held; a negative number releases them."""
         self.held_bytes += more_bytes
         self._memory.adjust(more_bytes)
 
     def adjust_small(self, more_bytes):
-        """Hold bytes that are of no body, or release a negative number."""
+        """Count bytes of no body as held; a negative number releases them."""
         self.held_bytes += more_bytes
         self.address.small_bytes += more_bytes
         self._memory.adjust_small(more_bytes)
--- a/laburnumlatch/platform/callerguard.py
+++ b/laburnumlatch/platform/callerguard.py
@@ -24,9 +24,10 @@
 FREED_SHARE = 0.0625
 # The share of the memory for small things that idle connections may take.
 CONNECTIONS_SHARE = 0.5
-# Connections that hold less for what they move are not closed: one that rests
-# has less than the first, which allows no more than a short head, and a body
-# of less than 64 KB has less than the second.
+# Connections whose `idleness` is lower are not closed. Beside
+# `calleraccounts.RATE_FLOOR`, an open connection without a request has 5, so
+# that the first bound allows no more than a short head. A connection that holds
+# less than 64 KB stays below the second one.
 MIN_IDLENESS = 6
 MIN_BODY_IDLENESS = 64
 
@@ -129,7 +130,7 @@
             )
 
     def check(self):
-        """Note what connections move, and report which were closed."""
+        """Update the rates of connections, and report how many were closed."""
         for connection in self._connections.values():
             connection.account.note_rate()
         self.relieve()
@@ -162,7 +163,7 @@
         return has_room()
 
     def _find_idle(self, may_close):
-        """Return what may be closed, those first that hold most for a rate."""
+        """Return the connections that may be closed, the idlest first."""
         idle = [
             connection
             for connection in self._connections.values()
--- a/laburnumlatch/platform/requestoutput.py
+++ b/laburnumlatch/platform/requestoutput.py
@@ -33,11 +33,11 @@
         return self.is_sent and not sockets.queued_bytes(self._transport)
 
     def pause(self):
-        """Hand over no more: the transport is full."""
+        """Hand nothing more to the transport, as it is full."""
         self._writer.pause()
 
     def resume(self):
-        """Go on handing over."""
+        """Go on writing to the transport."""
         self._writer.resume()
 
     def write(self, *parts):
@@ -71,7 +71,7 @@
             )
 
     def drop(self):
-        """Drop what was not handed over: the connection is lost."""
+        """Drop what the transport has not got: the connection is lost."""
         self._writer.close()
 
     def abort(self):
