--- a/laburnumlatch/core/bodymemory.py
+++ b/laburnumlatch/core/bodymemory.py
@@ -22,7 +22,7 @@
 # allocator keeps.
 RESERVED_BYTES = 65_000_000
 # From here on, callers who hold much and move little are cut off.
-PRESSED_SHARE = 0.35
+SHORT_SHARE = 0.35
 
 
 @attrs.define(frozen=True)
@@ -53,7 +53,7 @@
             self._max_bytes + self.max_small_bytes,
             max(self._max_bytes, process_bytes - RESERVED_BYTES),
         )
-        self._pressed_bytes = int(process_bytes * PRESSED_SHARE)
+        self._short_bytes = int(process_bytes * SHORT_SHARE)
         self._body_bytes = 0
         self._small_bytes = 0
         self._waiters = []
@@ -64,9 +64,9 @@
         return self._body_bytes + self._small_bytes
 
     @property
-    def is_pressed(self):
+    def is_short(self):
         """Whether callers who hold much and move little are to be cut off."""
-        return self.held_bytes > self._pressed_bytes
+        return self.held_bytes > self._short_bytes
 
     def fits_request(self, size):
         """Return whether the body of another request fits."""
--- a/laburnumlatch/core/records.py
+++ b/laburnumlatch/core/records.py
@@ -26,8 +26,8 @@
     _getters[defined] = operator.attrgetter(*names) if names else type
     defined.__eq__ = _equals
     # Rows that can change have no hash, as in attrs.
-    defined.__hash__ = _digest if frozen else None
-    defined.__repr__ = _describe
+    defined.__hash__ = _hash if frozen else None
+    defined.__repr__ = _repr
     return defined
 
 
@@ -38,11 +38,11 @@
     return values_of(record) == values_of(other)
 
 
-def _digest(record):
+def _hash(record):
     return hash(_getters[type(record)](record))
 
 
-def _describe(record):
+def _repr(record):
     described = ', '.join(
         f'{field.name}={getattr(record, field.name)!r}'
         for field in attrs.fields(type(record))
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -45,7 +45,8 @@
     - `departures`: `departurerows.Departure` by `ranges.Life`, the runs of the
       backend server that have left; `named_departures`:
       `departurerows.NamedDeparture` by server ID; `departure_calls`: calls
-      that wait until `departure_log` has them, with the time at which they are answered at the latest.
+      that wait until `departure_log` has them, with the time at which they
+      are answered at the latest.
     - `split_positions`: the next position in the sequence of a split route,
       from 0 to 1, by the name of the route.
     - `region_bindings`: `regions.Binding` by request ID, for nested calls of
--- a/laburnumlatch/mesh/choosing.py
+++ b/laburnumlatch/mesh/choosing.py
@@ -4,7 +4,7 @@
 
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
-from laburnumlatch.mesh.overload import owners
+from laburnumlatch.mesh.overload import hostwaits
 
 # Traffic between failure domains is expensive: a host in another domain is
 # chosen only if a request ends sooner there by this time, plus a time for
@@ -100,7 +100,7 @@
     if host.host_id == agent.host_id:
         order = agent.wait_policy.rank(request)
         return forecast.expected_wait_ms(agent, order)
-    reported_ms = owners.expected_wait_ms(host, request.rank, agent.now)
+    reported_ms = hostwaits.expected_wait_ms(host, request.rank, agent.now)
     slots = max(1, host.record.slots)
     excess_requests = max(0, host.in_flight + 1 - slots)
     return max(reported_ms, excess_requests * worktimes.DEFAULT_WORK_MS / slots)
--- a/laburnumlatch/mesh/dispatch.py
+++ b/laburnumlatch/mesh/dispatch.py
@@ -47,8 +47,8 @@
 
 def _may_send(agent, now):
     """Return whether the backend server may be sent any request now."""
-    if now < domains.hears_store_until(agent):
-        agent.wake_at(domains.hears_store_until(agent))
+    if now < domains.paused_sends_until(agent):
+        agent.wake_at(domains.paused_sends_until(agent))
         return False
     is_closed = admission.is_closed(agent.backend, now)
     return not is_closed and domains.may_start(agent, now)
--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -13,7 +13,7 @@
 MARGIN_MS = 1500
 # After a long pause nothing is sent for this time, so that an evacuation which
 # the store reported during the pause is read first.
-HEARING_MS = 100
+RESUME_DELAY_MS = 100
 # Responses that have arrived during a pause of this process are read within
 # this time after it.
 RESUME_MS = 1000
@@ -76,7 +76,7 @@
     return evacuation.begun_at is not None and now < ends_at(agent, evacuation)
 
 
-def hears_store_until(agent):
+def paused_sends_until(agent):
     """Return until when nothing is sent after a pause, 0 if it was short.
 
     The bound of an evacuation may have ended during a long one.
@@ -85,7 +85,7 @@
         return 0
     if agent.resumed_at - agent.paused_at < _allowed_ms(agent):
         return 0
-    return agent.resumed_at + HEARING_MS
+    return agent.resumed_at + RESUME_DELAY_MS
 
 
 def is_bound_over(agent, domain, now):
--- a/laburnumlatch/mesh/evacuation/progress.py
+++ b/laburnumlatch/mesh/evacuation/progress.py
@@ -35,7 +35,7 @@
             agent.wake_at(ends_at)
     if agent.due(domains.PROGRESS_TIMER, PROGRESS_INTERVAL_MS, now):
         if any(not evacuation.is_known for evacuation in agent.evacuations):
-            _judge_domains(agent)
+            _check_domains(agent)
         _log_progress(agent)
 
 
@@ -75,7 +75,7 @@
     return len(agent.queue) + running
 
 
-def _judge_domains(agent):
+def _check_domains(agent):
     """Log each new evacuation, and whether its domain exists.
 
     An unknown domain may become known with its first host.
--- a/laburnumlatch/mesh/pacing/coldness.py
+++ b/laburnumlatch/mesh/pacing/coldness.py
@@ -57,7 +57,7 @@
         )
 
 
-def suspect(agent, now):
+def expect_restart(agent, now):
     """Treat the own server as cold, as it accepted no connection.
 
     It may be restarting, and serve requests before its first announcement
--- a/laburnumlatch/mesh/pacing/pace.py
+++ b/laburnumlatch/mesh/pacing/pace.py
@@ -79,7 +79,7 @@
     is_unsent = failure.phase == messages.Phase.UNSENT
     is_misdirected = failure.reason == messages.Reason.NOT_OWNER
     if is_unsent and failure.reason == messages.Reason.BROKEN:
-        coldness.suspect(agent, now)
+        coldness.expect_restart(agent, now)
     if coldness.cold_rate(agent) and (is_unsent or is_misdirected):
         _change_tokens(agent, request.tokens_taken, now)
 
--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -7,7 +7,7 @@
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh import worktimes
 from laburnumlatch.mesh.overload import forecast
-from laburnumlatch.mesh.overload import owners
+from laburnumlatch.mesh.overload import hostwaits
 from laburnumlatch.mesh.pacing import coldness
 
 MIN_RETRY_AFTER_MS = 50
@@ -77,7 +77,7 @@
                 reason,
                 retry_after_ms,
                 forecast.expected_wait_ms(agent),
-                waits=owners.waits_by_rank(agent, request),
+                waits=hostwaits.waits_by_rank(agent, request),
                 cold_ms=coldness.remaining_ms(agent, agent.now),
             )
         )
@@ -120,7 +120,7 @@
                 wait_ms=forecast.expected_wait_ms(agent),
                 work_ms=int(worktimes.current_work_ms(agent, request)),
                 held_ms=age_ms,
-                waits=owners.waits_by_rank(agent, request),
+                waits=hostwaits.waits_by_rank(agent, request),
                 cold_ms=coldness.remaining_ms(agent, agent.now),
             ),
         )
--- a/laburnumlatch/platform/callerguard.py
+++ b/laburnumlatch/platform/callerguard.py
@@ -123,9 +123,9 @@
 
     def relieve(self):
         """Close connections if callers leave too much unread."""
-        if self.memory.is_pressed:
+        if self.memory.is_short:
             self._make_room(
-                lambda: not self.memory.is_pressed,
+                lambda: not self.memory.is_short,
                 lambda account: account.idleness >= MIN_BODY_IDLENESS,
             )
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -176,7 +176,7 @@
         forward = test_mesh_late_input.forward(routes.Kind.SAFE)
         fleet.post('m0', messages.ForwardArrived(90_000, 'b1', forward))
         fleet.paused.clear()
-        fleet.run(domains.HEARING_MS - 10)
+        fleet.run(domains.RESUME_DELAY_MS - 10)
         assert not fleet.backends['m0'].started
         fleet.run(20)
         assert fleet.backends['m0'].started
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -24,7 +24,7 @@
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import floor
 from laburnumlatch.mesh.overload import forecast
-from laburnumlatch.mesh.overload import owners
+from laburnumlatch.mesh.overload import hostwaits
 from laburnumlatch.mesh.overload import queue
 
 PATTERNS = overloadloads.patterns()
@@ -271,7 +271,7 @@
         agent = _agent_with_slots(4)
         for number in range(20):
             _join(agent, 100 + number, 0, 100, 300, key=ELSEWHERE)
-        assert owners.waits_by_rank(agent, _running(1, agent.now))[2] == 0
+        assert hostwaits.waits_by_rank(agent, _running(1, agent.now))[2] == 0
         assert _enqueue(agent, 1) is None
         assert not displacement.find(agent, agent.now)
         unheld = _enqueue(agent, 2, key=ELSEWHERE)
@@ -384,10 +384,10 @@
         agent = overloadloads.deployment().agents['m0']
         host = agent.hosts.get('b0')
         host.wait_ms = 900
-        host.waits = tuple(0 for _ in range(owners.MAX_RANKS))
+        host.waits = tuple(0 for _ in range(hostwaits.MAX_RANKS))
         host.reported_at = agent.now
-        assert owners.expected_wait_ms(host, 10**6, agent.now) == 900
-        assert owners.expected_wait_ms(host, 0, agent.now) == 0
+        assert hostwaits.expected_wait_ms(host, 10**6, agent.now) == 900
+        assert hostwaits.expected_wait_ms(host, 0, agent.now) == 0
 
     def test_waits_are_told_by_rank(self):
         """Guards against urgent callers refused for a queue of others."""
@@ -397,7 +397,7 @@
         agent.running = busy.running
         agent.work_times = busy.work_times
         _join(agent, 7, 2, 900, 9999)
-        waits = owners.waits_by_rank(agent, _running(1, agent.now))
+        waits = hostwaits.waits_by_rank(agent, _running(1, agent.now))
         assert waits[0] == waits[1]
         assert waits[1] < waits[2]
 
