--- a/laburnumlatch/mesh/requests.py
+++ b/laburnumlatch/mesh/requests.py
@@ -67,8 +67,12 @@
         age_ms=agent.now - request.arrived_at,
         left_ms=request.deadline - agent.now,
     )
-    if request.is_detached:
-        return
+    if not request.is_detached:
+        _report_end(agent, request, verdict, reason, retry_after_ms)
+
+
+def _report_end(agent, request, verdict, reason, retry_after_ms):
+    """Report to the caller or forwarding agent that no response comes."""
     if request.sender:
         agent.outbox.post(
             messages.ReplyRefusal(
