Take the wait policy from the contracts of the deployment

What is new is to take effect only where settings call for it.

Change: the value policy is in force where terms.contracts names pressure, else the target policy.

--- a/laburnumlatch/platform/bootfile.py
+++ b/laburnumlatch/platform/bootfile.py
@@ -16,6 +16,8 @@
 DEFAULT_MEMORY_MB = 200
 DEFAULT_LINK_MBPS = 1000
 DEFAULT_DESCRIPTORS = 4096
+# Names the rules for callers who compete for too little capacity.
+PRESSURE_CONTRACT = 'pressure'
 METRICS_PORT = 9464
 # Fields of `settings.Bounds` and their names in the file's `terms.bounds`.
 _DURATIONS = (
@@ -100,6 +102,7 @@
         bounds=reader.bounds(),
         max_descriptors=int(reader.limit('max_fds', DEFAULT_DESCRIPTORS)),
         regions=reader.regions(),
+        wait_policy=reader.wait_policy(),
     )
     reader.problems.raise_if_any()
     return agent_settings
@@ -151,6 +154,19 @@
         self._add(name, regions, 'a table of region names')
         return {}
 
+    def wait_policy(self):
+        """Return the name of the policy for the queue of the server.
+
+        Some deployments have rules for callers who compete for too little
+        capacity; all others keep the bound by the target alone.
+        """
+        name = 'terms.contracts'
+        contracts = self._find(name, [])
+        if isinstance(contracts, list):
+            return 'value' if PRESSURE_CONTRACT in contracts else 'target'
+        self._add(name, contracts, 'a list of names')
+        return ''
+
     def memory_bytes(self):
         """Return the memory limit of the process."""
         return int(self.limit('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -140,6 +140,15 @@
         assert settings.bounds.grace_ms == 6000
         assert settings.memory_bytes == 300_000_000
 
+    @pytest.mark.parametrize(
+        ('contracts', 'policy'),
+        [('["base"]', 'target'), ('["base", "pressure"]', 'value')],
+    )
+    def test_wait_policy_follows_the_contracts(self, contracts, policy):
+        """Guards against a policy that the deployment has not asked for."""
+        text = f'{SETTINGS}\n[terms]\ncontracts = {contracts}\n'
+        assert bootfile.parse(text, 'settings.toml').wait_policy == policy
+
     def test_all_problems_are_reported_together(self):
         """Guards against needing one start of the agent per invalid field."""
         text = SETTINGS.replace('service = "huvo11a"', 'service = 7')
