Wait for the grants that a silent host has reported

Cause: `PlanDraft._holds_no_keys` judged a silent host by its lease alone. A lease that is given up has ended, so the grants that the same renewal reported were the only bound, and they counted only while the host was in contact.

Ruled out: a new planner (the role did not change in the case), a renewal that arrives late (the last one did report the grants: grants_left_ms=1666 in the line piece-given), grants without a lease (the agent sends none).

--- a/laburnumlatch/mesh/leaseends.py
+++ b/laburnumlatch/mesh/leaseends.py
@@ -45,3 +45,15 @@
         return False
     is_leased = life in {None, holder.leased_life} and now < holder.expires
     return not is_leased and now >= holder.grants_end
+
+
+def silent_holds_no_keys(holder, former_leases_end, now):
+    """Return whether a host without recent contact certainly holds no keys.
+
+    `holder` is None if it never renewed a lease. Once it has given up its
+    lease, its grants still last as long as it has reported. Leases of earlier
+    planners have ended from `former_leases_end` on.
+    """
+    if holder is None:
+        return now >= former_leases_end
+    return now >= max(former_leases_end, holder.expires, holder.grants_end)
--- a/laburnumlatch/mesh/plandraft.py
+++ b/laburnumlatch/mesh/plandraft.py
@@ -228,7 +228,7 @@
         any. A host with recent contact holds none if it reports another run or
         none, and its leases and grants for the owning one have ended. For any
         other host all leases must have expired, also those from earlier
-        planners.
+        planners, and the grants that it has reported.
         """
         holder = self._agent.lease_holders.get(host_id)
         if holder is not None and self._now < holder.last_contact + SILENT_MS:
@@ -238,9 +238,7 @@
             self._agent.lease_holders,
             leaserows.latest_end_ms(),
         )
-        if holder is not None:
-            leases_end = max(leases_end, holder.expires)
-        return self._now >= leases_end
+        return leaseends.silent_holds_no_keys(holder, leases_end, self._now)
 
 
 def _owner_facts(holder, now):
--- /dev/null
+++ b/tests/test_mesh_server_runs.py
@@ -0,0 +1,51 @@
+"""What hosts report of grants that may last, and how the planner waits."""
+
+import pytest
+
+from laburnumlatch.experiments import fleetsim
+from laburnumlatch.mesh import ranges
+
+CALL_INTERVAL_MS = 20
+# By then keys that were given away are granted, and old grants have ended.
+SETTLE_MS = 8000
+
+
+def load(fleet, key, duration_ms):
+    """Send lookups of a key for some time."""
+    ends_at = fleet.now + duration_ms
+    while fleet.now < ends_at:
+        fleet.call('m0', '/look/', key)
+        fleet.run(CALL_INTERVAL_MS)
+
+
+def check_owners(fleet):
+    """Check that no key has had two owners, and that each has one now."""
+    assert not fleet.violations
+    assert not fleet.early_grants
+    assert fleet.owned_key_count() == ranges.KEY_COUNT
+
+
+class TestSilentHost:
+    """A host that has given up its lease, and is silent from then on."""
+
+    @pytest.mark.parametrize('silenced', ['paused', 'partitioned_hosts'])
+    @pytest.mark.parametrize('awake_ms', range(100, 400, 20))
+    def test_keys_stay_until_the_reported_grants_end(self, awake_ms, silenced):
+        """Guards against two owners when a host falls silent.
+
+        Two lost answers look like a server that is down, so the host gave up
+        its lease and reported how long its grants last. That was forgotten
+        once it was silent.
+        """
+        fleet = fleetsim.deployment()
+        host_id = fleet.owner_beside_planner()
+        backend = fleet.backends[host_id]
+        key = backend.held_ranges()[0][0]
+        backend.lost_answers = 2
+        load(fleet, key, awake_ms)
+        hosts = getattr(fleet, silenced)
+        hosts.add(host_id)
+        fleet.run(SETTLE_MS)
+        hosts.clear()
+        fleet.run(SETTLE_MS)
+        check_owners(fleet)
