Let only a newer renewal shorten the reported end of grants

Renewals are datagrams: one that was sent before the server stopped responding may arrive behind the one that reports its grants. It set the end of the grants to now, and a host that fell silent then was taken to hold nothing, unless the same renewal got it a lease.

Whether a renewal is newer is known from the time of the lease that it returns, as for a lease that is given up. Any other one can only extend the end.

After: it passes.

--- a/laburnumlatch/mesh/leaseends.py
+++ b/laburnumlatch/mesh/leaseends.py
@@ -26,6 +26,20 @@
         holder.expires = 0
 
 
+def update_grants_end(holder, renew, now):
+    """Note until when grants may last that the plan does not cover.
+
+    Renewals may arrive out of order, or twice. Only one that was certainly sent
+    after the last report had arrived may tell of an earlier end.
+    """
+    end = now + int(renew.grants_end_ms * leaserows.LATEST_END_RATIO)
+    if renew.lease_issued_at >= holder.grants_reported_at:
+        holder.grants_end = end
+        holder.grants_reported_at = now
+    else:
+        holder.grants_end = max(holder.grants_end, end)
+
+
 def may_renew(holder, now):
     """Return whether the host may get a lease for the run that it reports.
 
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -143,10 +143,12 @@
     server, `plan_sent_at` when it was last sent a plan or a plan change.
 
     `grants_end` is the latest end of grants at its backend server that the
-    plan does not cover. `held_fences` are the fencing tokens of pieces
-    that were handed over to it and that it holds. Until `cold_until` its
-    backend server is cold. `slowness` is as in its last renewal.
-    `reports` are the renewals whose load figures the planner has not read yet.
+    plan does not cover, and `grants_reported_at` when the last renewal arrived
+    that was certainly sent after the one before it. `held_fences` are the
+    fencing tokens of pieces that were handed over to it and that it holds.
+    Until `cold_until` its backend server is cold. `slowness` is as in its last
+    renewal. `reports` are the renewals whose load figures the planner has not
+    read yet.
     """
 
     host_id: str
@@ -166,6 +168,7 @@
     has_store: bool = True
     wait_ms: int = 0
     grants_end: int = 0
+    grants_reported_at: int = 0
     held_fences: frozenset[int] = frozenset()
     cold_until: int = 0
     slowness: float = 1
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -287,9 +287,7 @@
         lease_holder.ready_since = now
     lease_holder.slots = renew.slots
     lease_holder.is_leaving = renew.is_leaving
-    lease_holder.grants_end = now + int(
-        renew.grants_end_ms * leaserows.LATEST_END_RATIO
-    )
+    leaseends.update_grants_end(lease_holder, renew, now)
     lease_holder.has_store = renew.has_store
     lease_holder.wait_ms = renew.wait_ms
     lease_holder.cold_until = now + renew.cold_ms
--- a/tests/test_mesh_given_up_leases.py
+++ b/tests/test_mesh_given_up_leases.py
@@ -12,6 +12,7 @@
 LIFE = ranges.Life('i', 1)
 NEXT_LIFE = ranges.Life('i', 2)
 ISSUED_AT = 50_000
+JUST_AFTER = ISSUED_AT + 1
 CALL_INTERVAL_MS = 20
 # By then keys that were given away are granted, and old grants have ended.
 SETTLE_MS = 6000
@@ -25,7 +26,7 @@
         fleet.run(CALL_INTERVAL_MS)
 
 
-def renewal(life, lease_issued_at):
+def renewal(life, lease_issued_at, grants_end_ms=0):
     """Return a renewal that names a run of the backend server, or None."""
     return leasemsg.Renew(
         host_id='b0',
@@ -38,6 +39,7 @@
         is_leaving=False,
         has_store=True,
         lease_issued_at=lease_issued_at,
+        grants_end_ms=grants_end_ms,
     )
 
 
@@ -48,9 +50,10 @@
     return holder
 
 
-def report(holder, renew):
+def report(holder, renew, now=JUST_AFTER):
     """Update a lease holder by a renewal, as the planner does."""
     leaseends.end_if_given_up(holder, renew)
+    leaseends.update_grants_end(holder, renew, now)
     holder.life = renew.life
 
 
@@ -166,3 +169,21 @@
         leaseends.record_lease(holder, ISSUED_AT + 2)
         assert leaseends.holds_no_keys(holder, LIFE, ISSUED_AT + 3)
         assert not leaseends.holds_no_keys(holder, NEXT_LIFE, ISSUED_AT + 3)
+
+    @pytest.mark.parametrize('is_late', [False, True])
+    def test_late_renewal_does_not_shorten_reported_grants(self, is_late):
+        """Guards against a renewal that arrives behind a newer one.
+
+        It was sent before the server stopped responding, so it says nothing
+        of grants that last.
+        """
+        holder = leased_holder()
+        told_at = ISSUED_AT + 500
+        grants_ms = 3000
+        report(holder, renewal(None, ISSUED_AT, grants_ms), told_at)
+        sent_after = told_at - 1 if is_late else told_at
+        report(holder, renewal(None, sent_after), told_at + 1)
+        assert leaseends.holds_no_keys(holder, LIFE, told_at + 1) != is_late
+        for now in (told_at + 1, told_at + grants_ms):
+            is_free = leaseends.silent_holds_no_keys(holder, 0, now)
+            assert is_free != is_late
