Report the grants of the run before in the tick of the next one

Cause: the announcement makes `leases` send a renewal in the same tick, before `holdings` marks what was granted to the run before. Its grants were left out of the reported end, so the planner took the host to hold nothing.

A holding of another run than the present one now counts whether it is marked or not.

--- a/laburnumlatch/mesh/grantends.py
+++ b/laburnumlatch/mesh/grantends.py
@@ -20,11 +20,20 @@
         # Grants sent by an earlier process on this host may still be live.
         ends.append(agent.started + leaserows.latest_end_ms())
     for holding in agent.holdings:
-        if not is_up or holding.is_stale:
+        if not is_up or _is_of_former_life(holding, backend):
             ends.append(latest_end(holding))
     return max(ends)
 
 
+def _is_of_former_life(holding, backend):
+    """Return whether a holding was granted to an earlier run of the server.
+
+    A renewal may be sent in the tick in which the run is announced, before
+    `reconciling` marks the holdings as stale.
+    """
+    return holding.is_stale or holding.life != backend.life
+
+
 def latest_end(holding):
     """Return the latest end of all grants of a holding, in ms."""
     return max(
--- a/tests/test_mesh_server_runs.py
+++ b/tests/test_mesh_server_runs.py
@@ -8,6 +8,7 @@
 CALL_INTERVAL_MS = 20
 # By then keys that were given away are granted, and old grants have ended.
 SETTLE_MS = 8000
+LONG_WORK_MS = 1600
 
 
 def load(fleet, key, duration_ms):
@@ -49,3 +50,28 @@
         hosts.clear()
         fleet.run(SETTLE_MS)
         check_owners(fleet)
+
+
+class TestRestartedServer:
+    """A server that starts again before its agent notices that it had ended."""
+
+    @pytest.mark.parametrize('offset_ms', range(1800, 4600, 70))
+    def test_key_stays_while_the_next_run_works_on_it(self, offset_ms):
+        """Guards against a key that is given away while work on it runs.
+
+        The next run accepted the renewal of a grant and a booking. Its first
+        announcement made the agent give up the lease, and report that no
+        grants last.
+        """
+        fleet = fleetsim.deployment()
+        host_id = fleet.owner_beside_planner()
+        backend = fleet.backends[host_id]
+        backend.work_ms = LONG_WORK_MS
+        fleet.run(offset_ms)
+        key = backend.held_ranges()[0][0]
+        backend.restart()
+        while not backend.sequence and not backend.holds(key):
+            fleet.run(1)
+        fleet.call('m0', '/book/', key, 2000)
+        fleet.run(SETTLE_MS)
+        check_owners(fleet)
