Release what an earlier agent process may have granted to the next run

The next agent process gave the keys away within 2 s.

Cause: the new process reported the present run of the server and that no grants of others last. It knew nothing of what the process before it had granted, and counted that only while the server did not respond. Its report ended the lease of the process before it at the planner, which would have covered those grants.

Ruled out: the planner's row of the lease alone (a new planner has none, and the report is all that it goes by), and the fence of the plan, which the new process would renew only for the run that the plan names.

Now a process releases each piece that the plan gives to an earlier run of its server, once, and reports the latest end of such grants until that is done, or until the newest plan is known and reconciled. The same holds for pieces that were to be handed over, as before. Keys wait only as long as the release takes.

--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -154,6 +154,9 @@
     stopping_since: int | None = None
     closing_since: int | None = None
     holdings_reconciled_with: tuple = ()
+    # Fences under which an earlier process may have granted keys, and which
+    # this one has begun to release.
+    released_fences: set[int] = attrs.Factory(set)
     _last_ticket: int = 0
 
     @property
--- a/laburnumlatch/mesh/grantends.py
+++ b/laburnumlatch/mesh/grantends.py
@@ -1,6 +1,7 @@
 """When the grants at the local backend server have certainly ended."""
 
 from laburnumlatch.mesh import backendmsg
+from laburnumlatch.mesh import earliergrants
 from laburnumlatch.mesh import leaserows
 
 # The backend server's clock may run 2 % slow.
@@ -10,15 +11,15 @@
 def grants_end(agent, now):
     """Return the latest end, in ms, of grants that the plan does not cover.
 
-    Those are the grants of a former life of the backend server, and all grants
-    while it does not respond.
+    Those are the grants of a former life of the backend server, all grants
+    while it does not respond, and those that an earlier process on this host
+    may have made.
     """
     ends = [now]
     backend = agent.backend
     is_up = backend is not None and backend.failed_since is None
-    if not is_up:
-        # Grants sent by an earlier process on this host may still be live.
-        ends.append(agent.started + leaserows.latest_end_ms())
+    if not is_up or not earliergrants.are_known(agent):
+        ends.append(earliergrants.last_until(agent))
     for holding in agent.holdings:
         if not is_up or _is_of_former_life(holding, backend):
             ends.append(latest_end(holding))
--- a/laburnumlatch/mesh/handovers.py
+++ b/laburnumlatch/mesh/handovers.py
@@ -7,6 +7,7 @@
 forget what it got.
 """
 
+from laburnumlatch.mesh import earliergrants
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
@@ -25,10 +26,9 @@
     key = (piece.start, piece.end, piece.fence)
     handover = agent.handovers.get(key)
     if handover is None:
-        latest_end = agent.started + leaserows.latest_end_ms()
-        if now < latest_end:
-            # An earlier process on this host may have granted the keys.
-            _add_assumed_holding(agent, piece, latest_end)
+        if now < earliergrants.last_until(agent):
+            # The fences of the former owner were below that of the piece.
+            earliergrants.assume(agent, piece.start, piece.end, piece.fence - 1)
             return
         handover = keep_token(agent, piece, '', now)
     interval_ms = HANDOVER_RESEND_MS
@@ -82,26 +82,6 @@
     )
 
 
-def _add_assumed_holding(agent, piece, granted_until):
-    """Add a holding to release, for a grant of an earlier process.
-
-    Whether there was such a grant is not known. Its fence was below that of
-    the piece.
-    """
-    agent.holdings.put(
-        (piece.start, piece.fence - 1),
-        leaserows.Holding(
-            service=agent.settings.service,
-            start=piece.start,
-            end=piece.end,
-            fence=piece.fence - 1,
-            life=agent.backend.life,
-            state=leaserows.HoldingState.RELEASING,
-            granted_until=granted_until,
-        ),
-    )
-
-
 def process_messages(agent, now):
     """Process messages of former and new owners; return the `HandedOver` ones.
 
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -101,6 +101,18 @@
     return (start, end) if start <= end else None
 
 
+def uncovered_parts(piece, others):
+    """Yield (start, end) of each part of a range that no other one covers."""
+    covered = sorted(
+        part for other in others if (part := overlap(piece, other))
+    )
+    start = piece.start
+    for part in (*covered, (piece.end + 1, piece.end + 1)):
+        if start < part[0]:
+            yield start, part[0] - 1
+        start = max(start, part[1] + 1)
+
+
 def overlapping(first, second):
     """Yield each pair of pieces, one of each plan, that share keys.
 
--- a/laburnumlatch/mesh/reconciling.py
+++ b/laburnumlatch/mesh/reconciling.py
@@ -6,6 +6,7 @@
 """
 
 from laburnumlatch.core import versions
+from laburnumlatch.mesh import earliergrants
 from laburnumlatch.mesh import grantends
 from laburnumlatch.mesh import handovers
 from laburnumlatch.mesh import leaserows
@@ -17,12 +18,20 @@
     _release_former_life(agent, backend)
     _split_by_plan(agent, plan, backend)
     for piece in plan.pieces:
-        if _is_assigned(agent, piece, backend) and _is_released(agent, piece):
-            _add_missing(agent, piece)
+        if piece.host_id == agent.host_id:
+            _follow_own(agent, piece, backend, now)
         elif piece.former == agent.host_id:
             handovers.hand_over_if_released(agent, piece, now)
 
 
+def _follow_own(agent, piece, backend, now):
+    """Follow a piece that the plan assigns to this host."""
+    if piece.life != backend.life:
+        earliergrants.release_former(agent, piece, now)
+    elif _is_released(agent, piece):
+        _add_missing(agent, piece)
+
+
 def _is_assigned(agent, piece, backend):
     """Return whether the plan assigns a piece to the present backend server."""
     return piece.host_id == agent.host_id and piece.life == backend.life
@@ -117,16 +126,8 @@
 
 def _add_missing(agent, piece):
     """Add holdings for the parts of a piece that no holding covers."""
-    covered = sorted(
-        part
-        for holding in agent.holdings
-        if (part := ranges.overlap(piece, holding))
-    )
-    start = piece.start
-    for part in (*covered, (piece.end + 1, piece.end + 1)):
-        if start < part[0]:
-            _add_holding(agent, piece, start, part[0] - 1)
-        start = max(start, part[1] + 1)
+    for start, end in ranges.uncovered_parts(piece, agent.holdings):
+        _add_holding(agent, piece, start, end)
 
 
 def _add_holding(agent, piece, start, end):
