Let simulated servers answer a release once nested calls have ended

The deployment in memory answered a release when the own work of a request was to end, although its nested calls still ran. Another server was granted the key then, and its check took that for a fault of the agents: since renewals come at other times, test_evacuation failed so (one key, b0 evacuated, a request with two nested calls). A server answers once no request for the keys runs, and not at all if it crashes before that.

--- a/laburnumlatch/experiments/fleetbackend.py
+++ b/laburnumlatch/experiments/fleetbackend.py
@@ -205,14 +205,12 @@
         """Release the range of a `TakeBack`."""
         self.ledger.release(message)
 
-    def remaining_work_ms(self, start, end):
-        """Return when the work on a range of keys ends, in ms from now."""
-        ends = [
-            until - self.fleet.now
-            for key, until in self.running.values()
-            if key is not None and start <= key <= end
-        ]
-        return max([0, *ends])
+    def works_on(self, start, end):
+        """Return whether a request for a key of a range is running."""
+        return any(
+            key is not None and start <= key <= end
+            for key, _until in self.running.values()
+        )
 
     def holds(self, key):
         """Tell whether a request for `key` may start."""
--- a/laburnumlatch/experiments/fleetgrants.py
+++ b/laburnumlatch/experiments/fleetgrants.py
@@ -48,13 +48,28 @@
 
     def _release(self, host_id, take):
         backend = self._fleet.backends[host_id]
-        is_released = backend.is_reachable
-        if is_released:
+        if backend.is_reachable:
             backend.release(take)
-        delay_ms = backend.remaining_work_ms(take.start, take.end)
+            self._answer_release(host_id, take, backend.life)
+        else:
+            self._post_taken_back(host_id, take, is_answered=False)
+
+    def _answer_release(self, host_id, take, life):
+        """Answer a release once the work on its keys has ended."""
+        backend = self._fleet.backends[host_id]
+        is_in_run = backend.is_up and backend.life == life
+        if is_in_run and backend.works_on(take.start, take.end):
+            self._fleet.schedule(
+                RESPONSE_DELAY_MS, self._answer_release, host_id, take, life
+            )
+        else:
+            self._post_taken_back(host_id, take, is_answered=is_in_run)
+
+    def _post_taken_back(self, host_id, take, *, is_answered):
+        token = 'token' if is_answered else ''
         self._fleet.schedule(
-            delay_ms + RESPONSE_DELAY_MS,
+            RESPONSE_DELAY_MS,
             self._fleet.post,
             host_id,
-            backendmsg.TakenBack(take.ticket, is_released, 'token'),
+            backendmsg.TakenBack(take.ticket, is_answered, token),
         )
