Renew grants over connections to the run that accepted them

Renewals went over a new connection if none was kept, and so to whatever run of the server listens there: the agent learns of a new run only from its announcement.

A connection ends with the process at its other end. So a renewal now goes over one that has carried accepted grants. If none is left, nothing is sent, and the renewal waits for the next announcement of the same run, which shows that it lives; then it may open a connection. A grant that was certainly not sent no longer counts as one that may last.

Weighed: the header X-Expect-Instance (a restarted server may keep its ID), asking the health path before a renewal (costs a slot at Accra, and tells no start time).

What remains: a server that crashes and starts again between an announcement and a grant that opens a connection, some ms, gets that grant. It is released as before.

--- a/laburnumlatch/experiments/fleetchecks.py
+++ b/laburnumlatch/experiments/fleetchecks.py
@@ -27,18 +27,19 @@
 
 
 def check_rising_fence(fleet, host_id, grant):
-    """Record in `low_fences` keys that another host had under such a fence.
+    """Record in `low_fences` keys that another run had under such a fence.
 
-    A renewal is the same grant once more, whatever was granted since. It may
-    reach the next life of the server, which its agent does not know yet.
+    Runs of one server count like other servers: the next one holds nothing. A
+    renewal is the same grant once more, whatever was granted since.
     """
-    key = (grant.start, grant.end, grant.fence, host_id)
+    owner = (host_id, fleet.backends[host_id].life)
+    key = (grant.start, grant.end, grant.fence, owner)
     if key in fleet.fenced_ranges:
         return
     fleet.low_fences.extend(
         (fleet.now, *key, *earlier)
         for earlier in fleet.fenced_ranges
-        if earlier[-1] != host_id
+        if earlier[-1] != owner
         and earlier[0] <= grant.end
         and grant.start <= earlier[1]
         and grant.fence <= earlier[2]
--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -228,7 +228,7 @@
 
     def _create_transports(self):
         self._request_transport = fleetwork.RequestTransport(self)
-        self._grant_transport = fleetgrants.GrantTransport(self)
+        self.grants = fleetgrants.GrantTransport(self)
         self._store_transport = fleetstore.StoreTransport(self)
 
     def _add_host(self, host_id, service):
@@ -272,7 +272,7 @@
                     datagram.address,
                     datagram.message,
                 )
-        self._grant_transport.process_outbox(host_id, outbox)
+        self.grants.process_outbox(host_id, outbox)
         self._send_plans(host_id, outbox)
         self._request_transport.process_outbox(host_id, outbox)
         if outbox.take(processmsg.Stopped) and host_id not in self.stopped_at:
--- a/laburnumlatch/mesh/backendmsg.py
+++ b/laburnumlatch/mesh/backendmsg.py
@@ -57,7 +57,9 @@
 
     `start` and `end` are inclusive. The grant lasts for `hold_ms`. `handover`
     is the token of the former owner's release, empty if there is none. With
-    `is_renewal` the server has accepted the same grant before.
+    `is_renewal` the server has accepted the same grant before. It goes over a
+    connection that has carried accepted grants, to the run of the server that
+    accepted them, or with `may_connect` over a new one, to any run.
     """
 
     ticket: int
@@ -68,14 +70,19 @@
     hold_ms: int
     handover: str = ''
     is_renewal: bool = False
+    may_connect: bool = True
 
 
 @records.define(frozen=True)
 class GrantAnswered:
-    """Whether a grant was accepted; None if no response came."""
+    """Whether a grant was accepted; None if no response came.
+
+    With `is_unsent` it has certainly not reached the server.
+    """
 
     ticket: int
     is_accepted: bool | None
+    is_unsent: bool = False
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/holdings.py
+++ b/laburnumlatch/mesh/holdings.py
@@ -110,6 +110,10 @@
     """Return whether the backend server is up and the lease allows a grant."""
     if agent.lease.is_provisional and not _is_granted(holding, now):
         return False
+    if holding.doubted_at and backend.last_announced <= holding.doubted_at:
+        # Another run of the server may have started: it would accept a grant
+        # that was given to the one before.
+        return False
     plan = agent.plan_of(agent.settings.service)
     return (
         backend.failed_since is None
@@ -138,6 +142,7 @@
     holding.ticket = agent.next_ticket()
     holding.sent_at = now
     holding.hold_ms = hold_ms
+    is_renewal = holding.state == leaserows.HoldingState.HELD
     agent.outbox.post(
         backendmsg.GiveGrant(
             ticket=holding.ticket,
@@ -147,7 +152,8 @@
             fence=holding.fence,
             hold_ms=hold_ms,
             handover=holding.handover,
-            is_renewal=holding.state == leaserows.HoldingState.HELD,
+            is_renewal=is_renewal,
+            may_connect=not is_renewal or bool(holding.doubted_at),
         )
     )
 
@@ -157,8 +163,9 @@
     if holding is None:
         return
     holding.ticket = 0
+    outcome = _GRANT_OUTCOMES[response.is_accepted]
     counting.count(
-        agent, 'grants', outcome=_GRANT_OUTCOMES[response.is_accepted]
+        agent, 'grants', outcome='unsent' if response.is_unsent else outcome
     )
     if response.is_accepted:
         if holding.state == leaserows.HoldingState.GRANTING:
@@ -172,10 +179,13 @@
             holding.state = leaserows.HoldingState.HELD
             counting.count(agent, 'keys_received', holding.size)
         holding.handover = ''
+        holding.doubted_at = 0
         holding.granted_until = holding.sent_at + holding.hold_ms
         return
     holding.retry_at = now + RETRY_DELAY_MS
-    if response.is_accepted is None:
+    if response.is_unsent and holding.state == leaserows.HoldingState.HELD:
+        holding.doubted_at = now
+    elif response.is_accepted is None and not response.is_unsent:
         holding.unconfirmed_until = max(
             holding.unconfirmed_until, grantends.unconfirmed_end(holding, now)
         )
@@ -185,6 +195,7 @@
         end=holding.end,
         fence=holding.fence,
         answered=response.is_accepted is not None,
+        sent=not response.is_unsent,
     )
 
 
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -226,7 +226,8 @@
     grant. `granted_until` is when the last accepted grant ends, counted from
     its send time; `unconfirmed_until` is the latest end of a grant that got no
     response. Nothing is sent before `retry_at`. `is_stale` holdings were
-    granted to a former life of the backend server.
+    granted to a former life of the backend server. At `doubted_at` no
+    connection to the run that holds the keys was left, 0 if there is one.
     """
 
     service: str
@@ -244,6 +245,7 @@
     unconfirmed_until: int = 0
     retry_at: int = 0
     is_stale: bool = False
+    doubted_at: int = 0
 
     @property
     def size(self):
--- a/laburnumlatch/platform/backendclient.py
+++ b/laburnumlatch/platform/backendclient.py
@@ -152,14 +152,20 @@
         call.keeps_after_success = True
         if message.is_renewal:
             call.max_rest_ms = SAFE_REST_MS
+            call.may_connect = message.may_connect
         self._pool.start(call)
 
     def _finish_grant(self, message, outcome):
         _log_failure(GRANT_PATH, outcome)
         is_accepted = None
+        is_unsent = False
         if isinstance(outcome, servercall.ServerResponse):
             is_accepted = outcome.status == STATUS_OK
-        self._post(backendmsg.GrantAnswered(message.ticket, is_accepted))
+        else:
+            is_unsent = not outcome.is_sent
+        self._post(
+            backendmsg.GrantAnswered(message.ticket, is_accepted, is_unsent)
+        )
 
     def _release(self, message):
         body = {
--- a/laburnumlatch/platform/servercall.py
+++ b/laburnumlatch/platform/servercall.py
@@ -47,7 +47,8 @@
     another request ID than `request_id` is that of another request.
 
     A call goes to a kept connection that has rested at most `max_rest_ms`, if
-    all calls on it were of the same `group`. Its own connection is kept if
+    all calls on it were of the same `group`, and to a new one if none is kept
+    and it `may_connect`. Its own connection is kept if
     `keeps_connection` is set, with `keeps_after_success` only behind a success
     response. `on_end` is called once with a `ServerResponse` or a
     `CallFailure`, at the latest after `timeout_ms`. `was_sent` says that bytes
@@ -64,6 +65,7 @@
     request_id: str = ''
     max_rest_ms: int = 0
     group: str = ''
+    may_connect: bool = True
     keeps_connection: bool = True
     keeps_after_success: bool = False
     was_sent: bool = False
--- a/laburnumlatch/platform/serverpool.py
+++ b/laburnumlatch/platform/serverpool.py
@@ -11,6 +11,7 @@
 CONNECT_TIMEOUT_MS = 500
 MAX_RESTING = 64
 TIMED_OUT = 'timed out'
+NO_CONNECTION = 'no connection was kept'
 # TCP keepalive detects a server that has vanished without closing, after
 # about `KEEPALIVE_IDLE_S` + `KEEPALIVE_PROBES` * `KEEPALIVE_INTERVAL_S`.
 KEEPALIVE_IDLE_S = 1
@@ -55,10 +56,12 @@
             call.timeout_ms / clock.MS_PER_S, self._time_out, call
         )
         connection = self._take_resting(call)
-        if connection is None:
+        if connection:
+            connection.start(call)
+        elif call.may_connect:
             self._connect(call)
         else:
-            connection.start(call)
+            call.fail(NO_CONNECTION)
 
     def cancel(self, call):
         """Close the connection of a call and report nothing."""
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -96,11 +96,18 @@
             )
         )
 
-    async def grant(self, is_renewal=False):
+    async def grant(self, is_renewal=False, may_connect=True):
         """Send a grant; return the event that reports its end."""
         self.client.carry_out(
             backendmsg.GiveGrant(
-                1, self.server.address, 0, 15, 7, 1000, is_renewal=is_renewal
+                1,
+                self.server.address,
+                0,
+                15,
+                7,
+                1000,
+                is_renewal=is_renewal,
+                may_connect=may_connect,
             )
         )
         return await asyncio.wait_for(self.events.get(), 3)
@@ -243,8 +250,24 @@
             event = await exchanges.grant(is_renewal=True)
             await asyncio.sleep(SHORT_WAIT_S)
             assert event.is_accepted is None
+            assert not event.is_unsent
             assert exchanges.server.seen == [0, 0]
 
+    async def test_renewal_may_need_a_kept_connection(self):
+        """Guards against a renewal that reaches another run of the server.
+
+        The server has closed the connection: it may have started again.
+        """
+        async with talking(ACCEPTED, None, ACCEPTED) as exchanges:
+            await exchanges.grant()
+            await exchanges.grant(is_renewal=True)
+            event = await exchanges.grant(is_renewal=True, may_connect=False)
+            assert event.is_unsent
+            assert exchanges.server.seen == [0, 0]
+            event = await exchanges.grant(is_renewal=True)
+            assert event.is_accepted
+            assert exchanges.server.seen == [0, 0, 1]
+
 
 class TestClosedConnections:
     """A kept connection that the server closes as a request comes."""
--- a/tests/test_mesh_server_runs.py
+++ b/tests/test_mesh_server_runs.py
@@ -33,8 +33,12 @@
 
 
 def restart_until_granted(fleet, host_id):
-    """Restart a server; return once it holds keys or has announced itself."""
+    """Restart a server; return once it holds keys or has announced itself.
+
+    Grants that were meant for the run before reach the next one.
+    """
     backend = fleet.backends[host_id]
+    fleet.grants.kept_connections.add(host_id)
     key = backend.held_ranges()[0][0]
     backend.restart()
     while not backend.sequence and not backend.holds(key):
@@ -106,6 +110,42 @@
         fleet.run(SETTLE_MS)
         check_owners(fleet)
 
+    @pytest.mark.parametrize('offset_ms', CRASHES_MS)
+    def test_next_run_takes_no_grant_of_the_run_before(self, offset_ms):
+        """Guards against a fencing token that does not rise with the owner.
+
+        A renewal went over a new connection, to the next run of the server,
+        which its agent did not know yet.
+        """
+        fleet = fleetsim.deployment()
+        host_id = fleet.owner_beside_planner()
+        backend = fleet.backends[host_id]
+        fleet.run(offset_ms)
+        former_fences = backend.fences()
+        backend.restart()
+        while not backend.sequence:
+            fleet.run(1)
+            assert not backend.fences()
+        fleet.run(SETTLE_MS)
+        assert not set(former_fences).intersection(backend.fences())
+        assert not fleet.low_fences
+        check_owners(fleet)
+
+    def test_keys_stay_without_a_kept_connection(self):
+        """Guards against renewals that wait for a connection forever.
+
+        The server has closed the connections that carried its grants. The
+        next announcement shows that it is in the same run.
+        """
+        fleet = fleetsim.deployment()
+        host_id = fleet.owner_beside_planner()
+        held = sorted(fleet.backends[host_id].held_ranges())
+        for _ in range(SETTLE_MS // CALL_INTERVAL_MS):
+            fleet.grants.close_connections(host_id)
+            fleet.run(CALL_INTERVAL_MS)
+            assert sorted(fleet.backends[host_id].held_ranges()) == held
+        check_owners(fleet)
+
     @pytest.mark.parametrize('offset_ms', range(0, 4600, 460))
     def test_keys_do_not_wait_for_the_next_periodic_renewal(self, offset_ms):
         """Guards against keys without an owner once they are released.
