Wait for the leases of all earlier planners, not of the last one alone

A planner that is cut off from the store goes on for 12 s with a majority of the hosts. If another agent takes the role on the other side and ends, its successor took all former leases as ended one lease time after the process of that second planner was in contact. The first planner was issuing leases all the while.

Cause: `former_leases_end` had a shorter bound where the last holder of the row is in contact. That one had stopped, but it had not waited for the planner before it.

The bound is now the one that holds for all earlier planners: they have stopped 1.5 s after a majority is in contact with the new one, or 12 s after it took the role. `former_holder`, `row_term` and `first_contact` are gone with the shorter one; a test of restored stores no longer has to set them to show that they do not count.

--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -47,20 +47,19 @@
 
     `row_version` is the version of the store's row when it was last read or
     written, 0 if there is no row, None before the first read; `row_seen_at` is
-    when that version was first seen, `row_term` the term in it. `pending` is
+    when that version was first seen, `pending` is
     the ticket of the store call in flight, sent at `sent_at`, or empty; if it
     takes the role, `taking_term` is the term. `has_store` is whether the last
     call got a response. `is_retaking` is whether this agent has given up its
     term because the store was restored, and is about to take the next one.
 
     The fields after `is_held` are valid only while this agent holds the role.
-    `is_first` is whether nobody held it before; otherwise `former_holder` did,
-    empty if the store may have lost who it was.
-    `taken_at` is when this agent took the role, `renewed_at` when it sent the
-    last renewal that took effect. A majority of the hosts has certainly sent
-    renewals after `majority_contact`; `majority_since` is when the first such
-    majority was counted. `has_plans` is whether the plans were read since the
-    role was taken.
+    `is_first` is whether nobody held it before. `taken_at` is when this agent
+    took the role, `renewed_at` when it sent the last renewal that took effect.
+    A majority of the hosts has certainly sent renewals after
+    `majority_contact`; `majority_since` is when the first such majority was
+    counted. `has_plans` is whether the plans were read since the role was
+    taken.
     """
 
     holder: str = ''
@@ -68,12 +67,10 @@
     term: int = 0
     row_version: int | None = None
     row_seen_at: int = 0
-    row_term: int = 0
     taking_term: int = 0
     is_retaking: bool = False
     is_held: bool = False
     is_first: bool = False
-    former_holder: str = ''
     taken_at: int = 0
     renewed_at: int = 0
     majority_contact: int = 0
@@ -139,8 +136,8 @@
 
     `expires` is the latest end of the last lease that this planner issued to
     it, for `leased_life` and at `leased_at`; 0 once the host has given it up.
-    `first_contact` and `last_contact` are when renewals under the present
-    term arrived; `confirmed_contact` is a time after which the host has
+    `last_contact` is when the last renewal under the present term arrived;
+    `confirmed_contact` is a time after which the host has
     certainly sent one. `ready_since` is when it first reported a live backend
     server, `plan_sent_at` when it was last sent a plan or a plan change.
 
@@ -161,7 +158,6 @@
     leased_at: int = 0
     last_contact: int = 0
     confirmed_contact: int = 0
-    first_contact: int | None = None
     ready_since: int | None = None
     plan_sent_at: int | None = None
     life: ranges.Life | None = None
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -287,8 +287,6 @@
     lease_holder.confirmed_contact = max(
         lease_holder.confirmed_contact, confirmed_contact
     )
-    if lease_holder.first_contact is None:
-        lease_holder.first_contact = now
     leaseends.end_if_given_up(lease_holder, renew)
     lease_holder.address = renew.address
     lease_holder.service = renew.service
--- a/laburnumlatch/mesh/plandraft.py
+++ b/laburnumlatch/mesh/plandraft.py
@@ -13,7 +13,6 @@
 from laburnumlatch.mesh import bucketloads
 from laburnumlatch.mesh import counting
 from laburnumlatch.mesh import leaseends
-from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh.evacuation import domains
@@ -233,11 +232,7 @@
         holder = self._agent.lease_holders.get(host_id)
         if holder is not None and self._now < holder.last_contact + SILENT_MS:
             return leaseends.holds_no_keys(holder, life, self._now)
-        leases_end = role.former_leases_end(
-            self._agent.role,
-            self._agent.lease_holders,
-            leaserows.latest_end_ms(),
-        )
+        leases_end = role.former_leases_end(self._agent.role)
         return leaseends.silent_holds_no_keys(holder, leases_end, self._now)
 
 
--- a/laburnumlatch/mesh/planepochs.py
+++ b/laburnumlatch/mesh/planepochs.py
@@ -13,7 +13,6 @@
 import attrs
 
 from laburnumlatch.core import versions
-from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import role
 
 
@@ -40,9 +39,7 @@
         is_certain = planner_role.is_first or not agent.current_epoch
     else:
         is_certain = is_confirmed(plan, planner_role.term)
-    return not is_certain and now < role.unknown_leases_end(
-        planner_role, leaserows.latest_end_ms()
-    )
+    return not is_certain and now < role.unknown_leases_end(planner_role)
 
 
 def confirm(plan, term):
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -74,27 +74,19 @@
     )
 
 
-def former_leases_end(role, lease_holders, lease_ms):
-    """Return from when on no lease of an earlier planner can be live, in ms.
-
-    An earlier planner stops issuing leases once its own process is in contact
-    with this planner, or once it has lost contact with a majority of the
-    hosts. Its last lease then lasts for at most `lease_ms`.
-    """
-    if role.is_first:
-        return role.taken_at
-    leases_end = unknown_leases_end(role, lease_ms)
-    former = lease_holders.get(role.former_holder)
-    if former is not None and former.first_contact is not None:
-        leases_end = min(leases_end, former.first_contact + lease_ms)
-    return leases_end
+def former_leases_end(role):
+    """Return from when on no lease of an earlier planner can be live, in ms."""
+    return role.taken_at if role.is_first else unknown_leases_end(role)
 
 
-def unknown_leases_end(role, lease_ms):
+def unknown_leases_end(role):
     """Return from when on no lease of any earlier planner can be live, in ms.
 
-    Unlike `former_leases_end` it does not rely on the row of the store for who
-    the last planner was.
+    Unlike `former_leases_end` it does not rely on the row of the store for
+    whether there was one. There may have been several planners before, of which
+    the row of the store names only the last. Each stops issuing leases once it
+    has lost contact with a majority of the hosts, or the store for too long.
+    Its last lease may still last as long as a lease does.
     """
     ends = [role.taken_at + MAX_OUTAGE_MS]
     if role.majority_since is not None:
@@ -104,7 +96,7 @@
                 role.taken_at + CERTAIN_HOLD_MS,
             ),
         )
-    return min(ends) + lease_ms
+    return min(ends) + leaserows.latest_end_ms()
 
 
 def follow_planner(agent, holder, address, term, now):
@@ -175,7 +167,6 @@
         _process_record(agent, record, row.version, now)
     if role.row_version is None or not _has_row(read):
         role.row_version = 0
-        role.row_term = 0
         role.row_seen_at = now
     if role.is_retaking and not role.is_held:
         _try_to_take(agent, now)
@@ -196,7 +187,6 @@
     if role.row_version != version:
         role.row_version = version
         role.row_seen_at = now
-    role.row_term = record.term
     if record.holder == agent.host_id and not role.is_held:
         # Held by an earlier process on this host, which has ended.
         role.term = max(role.term, record.term)
@@ -234,8 +224,6 @@
     if written.ticket == TAKE_TICKET:
         _become_holder(agent, now)
     role.row_version = written.version
-    if role.is_held:
-        role.row_term = role.term
     role.renewed_at = role.sent_at
 
 
@@ -243,10 +231,6 @@
     """Start a new term as planner and announce it to all hosts."""
     role = agent.role
     role.is_first = not role.row_version and not role.term
-    role.former_holder = role.holder
-    if versions.epoch_of(role.row_term) < versions.epoch_of(role.taking_term):
-        # The store may have lost who held the role last.
-        role.former_holder = ''
     role.holder = agent.host_id
     role.address = agent.settings.peer_address
     role.term = role.taking_term
--- a/tests/test_mesh_ownership.py
+++ b/tests/test_mesh_ownership.py
@@ -16,6 +16,9 @@
 # the end of its leases: see `role.former_leases_end`.
 DOUBLE_TAKEOVER_MS = TAKEOVER_MS + 6000
 
+# A planner is replaced well within this time.
+MAX_SUCCESSION_MS = 10_000
+
 # Calls of a host in two seconds: reads of changed rows, the write of its own
 # row, and renewals of the planner role.
 MAX_CALLS_PER_HOST = 6
@@ -31,6 +34,16 @@
     return isinstance(fleet.outcomes[number], messages.Deliver)
 
 
+def await_planner(fleet, host_ids):
+    """Run until one of some hosts holds the planner role; return it."""
+    for _ in range(MAX_SUCCESSION_MS):
+        holders = host_ids.intersection(fleet.planner_hosts())
+        if holders:
+            return min(holders)
+        fleet.run(1)
+    raise AssertionError('nobody took the role')
+
+
 class TestStart:
     """A deployment that starts for the first time."""
 
@@ -162,6 +175,39 @@
         assert not fleet.violations
 
 
+class TestSuccession:
+    """Planners that follow one another while the first one goes on."""
+
+    @pytest.mark.parametrize('seed', range(3))
+    def test_third_planner_waits_for_the_first(self, seed):
+        """Guards against judging leases by the planner before alone.
+
+        The first planner is cut off from the store, with a majority of the
+        hosts. On the other side one takes the role and ends, and the next one
+        is in contact with its successor.
+        """
+        fleet = fleetsim.deployment(divided=5, others=2, seed=seed)
+        (first,) = fleet.planner_hosts()
+        owner = fleet.owner_beside_planner()
+        others = {'m0', 'm1'}.difference({first})
+        minority = {owner, min(others)}
+        fleet.is_partitioned = lambda one, other: (
+            (one in minority) != (other in minority)
+        )
+        fleet.store.refused_hosts.update(set(fleet.agents) - minority)
+        second = await_planner(fleet, minority)
+        fleet.stop(second)
+        await_planner(fleet, minority.difference({second}))
+        fleet.start(second)
+        fleet.run(DOUBLE_TAKEOVER_MS)
+        assert not fleet.violations
+        fleet.is_partitioned = lambda _one, _other: False
+        fleet.store.refused_hosts.clear()
+        fleet.run(DOUBLE_TAKEOVER_MS)
+        assert not fleet.violations
+        assert fleet.owned_key_count() == ranges.KEY_COUNT
+
+
 class TestStoreOutage:
     """The store is unavailable to some or all agents."""
 
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -293,9 +293,6 @@
         agent.role.term = versions.join(1, 2)
         agent.role.taken_at = now
         agent.role.majority_since = None
-        agent.role.former_holder = fleet.owner_beside_planner()
-        former = agent.lease_holders.get(agent.role.former_holder)
-        former.first_contact = now - leaserows.latest_end_ms()
         plan = agent.plan_of(fleetconfig.SERVICE)
         assert planepochs.must_wait_for_leases(agent, plan, now)
 
