Lose responses of the store to a host in the deployment in memory

A call takes effect and fails once its client gives it up, a watch half a minute later. A watch without news now ends after its time, as at the platform, and a process no longer gets responses to calls of the process before it.

--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -1,5 +1,7 @@
 """Simulated store, and the transport of the agents' calls to it."""
 
+from collections import abc
+
 import attrs
 
 from laburnumlatch.core import storemsg
@@ -7,6 +9,8 @@
 from laburnumlatch.mesh import configmsg
 
 CALL_DURATION_MS = 4
+# A client gives a call up this long after the store was to answer it.
+CALL_TIMEOUT_MS = 1500
 # Interval at which a watch of the configuration checks for a new version.
 WATCH_POLL_MS = 40
 
@@ -29,6 +33,7 @@
     `evacuation_changes` counts the changes of both.
 
     All calls of `refused_hosts` fail, and those of all hosts while `is_down`.
+    Responses to `silent_hosts` are lost.
     `writes_to_reject` maps a key to the number of its next writes that get
     status 503. `calls` counts calls about rows, `writes` the writes among
     them that succeeded, and `configuration_reads` reads of the configuration.
@@ -43,6 +48,7 @@
         self.epoch = 0
         self._number = 0
         self.refused_hosts = set()
+        self.silent_hosts = set()
         self.is_down = False
         self.writes_to_reject = {}
         self.writes = 0
@@ -159,7 +165,11 @@
 
 
 class StoreTransport:
-    """Delivers the agents' calls to the store, and its responses."""
+    """Delivers the agents' calls to the store, and its responses.
+
+    Responses to `Store.silent_hosts` are lost: their calls take effect, and
+    fail once the client gives them up.
+    """
 
     def __init__(self, fleet):
         """Create the transport for the agents of a `fleetsim.Fleet`."""
@@ -174,48 +184,99 @@
         ):
             for message in outbox.take(kind):
                 self._fleet.store.calls += 1
-                self._schedule(CALL_DURATION_MS, self._call, host_id, message)
+                self._start(host_id, message, self._answer)
         for read in outbox.take(configmsg.ReadConfiguration):
-            self._schedule(
-                CALL_DURATION_MS, self._read_configuration, host_id, read
-            )
+            self._start(host_id, read, self._answer_read)
         for watch in outbox.take(configmsg.WatchConfiguration):
-            self._schedule(
-                CALL_DURATION_MS, self._watch_configuration, host_id, watch
-            )
+            self._start(host_id, watch, self._answer_watch)
 
-    def _schedule(self, delay_ms, action, host_id, message):
-        self._fleet.schedule(delay_ms, action, host_id, message)
+    def _start(self, host_id, message, answer):
+        """Start a call; `answer` returns its response, None to ask again."""
+        wait_ms = getattr(message, 'wait_ms', 0)
+        call = _Call(
+            host_id,
+            self._fleet.agents.get(host_id),
+            message,
+            answer,
+            self._fleet.now + wait_ms,
+            self._fleet.now + wait_ms + CALL_TIMEOUT_MS,
+        )
+        self._fleet.schedule(CALL_DURATION_MS, self._try, call)
 
-    def _call(self, host_id, message):
-        answer = self._fleet.store.answer(host_id, message)
-        if answer is None:
-            # A watch without news: poll again.
-            self._schedule(CALL_DURATION_MS, self._call, host_id, message)
+    def _try(self, call):
+        """Post the response to a call, or try again while a watch waits."""
+        response = call.answer(call)
+        if response is None:
+            self._fleet.schedule(call.poll_ms, self._try, call)
+        elif call.host_id in self._fleet.store.silent_hosts:
+            lost = storemsg.StoreFailed(call.message.ticket, 'no response')
+            self._fleet.schedule(
+                call.gives_up_at - self._fleet.now, self._post, call, lost
+            )
         else:
-            self._fleet.post(host_id, answer)
+            self._post(call, response)
+
+    def _post(self, call, response):
+        """Deliver a response, unless the process that made the call ended."""
+        if self._fleet.agents.get(call.host_id) is call.agent:
+            self._fleet.post(call.host_id, response)
 
-    def _read_configuration(self, host_id, request):
+    def _answer(self, call):
+        store = self._fleet.store
+        response = store.answer(call.host_id, call.message)
+        if response is None and self._fleet.now >= call.answers_by:
+            return storemsg.StoreChanges(call.message.ticket, (), store.version)
+        return response
+
+    def _answer_read(self, call):
         store = self._fleet.store
         store.configuration_reads += 1
-        is_complete = isinstance(request, configmsg.ReadConfiguration)
-        answer = store.configuration_read(
-            request.ticket, self._fleet.configuration, is_complete=is_complete
-        )
-        is_history_gone = not is_complete and (
-            versions.epoch_of(request.after) != store.epoch
+        if self._is_refused(call):
+            return storemsg.StoreFailed(call.message.ticket, 'refused')
+        return store.configuration_read(
+            call.message.ticket, self._fleet.configuration, is_complete=True
         )
-        is_refused = host_id in store.refused_hosts or store.is_down
-        if is_refused or is_history_gone:
-            answer = storemsg.StoreFailed(request.ticket, 'refused')
-        self._fleet.post(host_id, answer)
 
-    def _watch_configuration(self, host_id, watch):
+    def _answer_watch(self, call):
         store = self._fleet.store
+        watch = call.message
+        if self._is_refused(call):
+            return storemsg.StoreFailed(watch.ticket, 'refused')
+        if versions.epoch_of(watch.after) != store.epoch:
+            return storemsg.StoreFailed(watch.ticket, 'history gone')
         version = store.configuration_version(self._fleet.configuration)
-        if version > watch.after or store.is_down:
-            self._read_configuration(host_id, watch)
-        else:
-            self._schedule(
-                WATCH_POLL_MS, self._watch_configuration, host_id, watch
+        if version > watch.after:
+            return store.configuration_read(
+                watch.ticket, self._fleet.configuration, is_complete=False
             )
+        if self._fleet.now >= call.answers_by:
+            return configmsg.ConfigurationRead(watch.ticket, (), version)
+        return None
+
+    def _is_refused(self, call):
+        store = self._fleet.store
+        return store.is_down or call.host_id in store.refused_hosts
+
+
+@attrs.define(frozen=True)
+class _Call:
+    """A call of the process `agent` of a host to the store.
+
+    `answer` is called with it. The store answers at `answers_by` even if a
+    watch has nothing new, and the client gives the call up at `gives_up_at`.
+    """
+
+    host_id: str
+    agent: object
+    message: object
+    answer: abc.Callable
+    answers_by: int
+    gives_up_at: int
+
+    @property
+    def poll_ms(self):
+        """How long a watch without news waits before it looks again."""
+        is_configuration = isinstance(
+            self.message, configmsg.WatchConfiguration
+        )
+        return WATCH_POLL_MS if is_configuration else CALL_DURATION_MS
