Ask the store for changes that a lost watch would have told

A route that had moved ran at the old service, an added one got 404.

Cause: `configuring` learns of changes by one call of 28 s. Its response was lost, and the call ends after 29.5 s. Others are helped by the version that leases name; nothing tells the planner. `members` watches the rows of hosts in the same way and had no such help anywhere, and an evacuation changes no version.

Ruled out: a role that moves (an outage below 2.5 s does not cost it), and the leases (they named the planner's own, old version).

Now the planner polls both tables once a second, as does an agent without a planner that reaches the store. Leases name the newest change in each, and an agent that lacks it polls at once. A failed poll is followed by a read of all rows. A failed read no longer leaves a second watch behind.

Cost: two small calls a second in the whole deployment.

--- a/laburnumlatch/core/storemsg.py
+++ b/laburnumlatch/core/storemsg.py
@@ -55,11 +55,13 @@
     """Rows of a table, complete up to `version` of the store.
 
     `removed` are the keys of rows that are gone, in the response to a watch.
+    `changed_in` is the version of the newest row or removal, 0 without any.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
     removed: tuple[str, ...] = ()
+    changed_in: int = 0
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/experiments/fleetstore.py
+++ b/laburnumlatch/experiments/fleetstore.py
@@ -93,15 +93,19 @@
         self.evacuated.discard(domain)
         self.ended_evacuations.add(domain)
 
-    def configuration_read(self, ticket, configuration, *, is_complete):
+    def configuration_read(self, request, configuration):
         """Return the `configmsg.ConfigurationRead` for a read or a watch."""
+        is_complete = isinstance(request, configmsg.ReadConfiguration)
+        version = self.configuration_version(configuration)
         return configmsg.ConfigurationRead(
-            ticket,
+            request.ticket,
             (configuration,),
-            self.configuration_version(configuration),
+            version,
             evacuated=tuple(sorted(self.evacuated)),
             ended_evacuations=tuple(sorted(self.ended_evacuations)),
             is_complete=is_complete,
+            changed_in=version,
+            is_prompt=not is_complete and request.wait_ms > 0,
         )
 
     def configuration_version(self, configuration):
@@ -233,9 +237,7 @@
         store.configuration_reads += 1
         if self._is_refused(call):
             return storemsg.StoreFailed(call.message.ticket, 'refused')
-        return store.configuration_read(
-            call.message.ticket, self._fleet.configuration, is_complete=True
-        )
+        return store.configuration_read(call.message, self._fleet.configuration)
 
     def _answer_watch(self, call):
         store = self._fleet.store
@@ -246,9 +248,7 @@
             return storemsg.StoreFailed(watch.ticket, 'history gone')
         version = store.configuration_version(self._fleet.configuration)
         if version > watch.after:
-            return store.configuration_read(
-                watch.ticket, self._fleet.configuration, is_complete=False
-            )
+            return store.configuration_read(watch, self._fleet.configuration)
         if self._fleet.now >= call.answers_by:
             return configmsg.ConfigurationRead(watch.ticket, (), version)
         return None
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -19,6 +19,7 @@
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings as settings_module
 from laburnumlatch.mesh import storeretry
+from laburnumlatch.mesh import tableviews
 from laburnumlatch.mesh import waiting
 from laburnumlatch.mesh.overload import fairness
 from laburnumlatch.mesh.overload import queue as queue_module
@@ -129,23 +130,15 @@
     role: leaserows.Role = attrs.Factory(leaserows.Role)
     lease: leaserows.OwnLease = attrs.Factory(leaserows.OwnLease)
     load_report: leaserows.LoadReport = attrs.Factory(leaserows.LoadReport)
-    configuration_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
-    members_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
+    operator_view: tableviews.TableView = attrs.Factory(tableviews.TableView)
+    members_view: tableviews.TableView = attrs.Factory(tableviews.TableView)
     role_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
     row_retry: storeretry.Backoff = attrs.Factory(storeretry.Backoff)
     has_members: bool = False
     has_plans: bool = False
-    is_watching_members: bool = False
     # Since when plans are missing: they were not read yet, or a lease named a
     # newer version of one.
     plans_outdated_since: int | None = None
-    # The store version at which the next watch starts, None if none is to
-    # start: rows have not been read yet, or a watch is running.
-    members_watch_version: int | None = None
-    members_watch_at: int = 0
-    is_watching_configuration: bool = False
-    members_updated_at: int = 0
-    configuration_updated_at: int = 0
     evacuations_version: int = 0
     evacuation_progress: object = None
     own_row_version: int = 0
--- a/laburnumlatch/mesh/configmsg.py
+++ b/laburnumlatch/mesh/configmsg.py
@@ -14,7 +14,10 @@
 
 @records.define(frozen=True)
 class WatchConfiguration:
-    """Wait up to `wait_ms` for a configuration newer than version `after`."""
+    """Wait up to `wait_ms` for what an operator has changed since `after`.
+
+    With `wait_ms` 0 the response comes at once.
+    """
 
     ticket: str
     after: int
@@ -28,7 +31,9 @@
     `store_version` is the version of the store up to which they were read.
     `evacuated` are failure domains that the operator asks to evacuate, and
     `ended_evacuations` those for which that is withdrawn. If the read
-    `is_complete`, all other evacuations are withdrawn, too.
+    `is_complete`, all other evacuations are withdrawn, too. The newest change
+    in it is of version `changed_in`, 0 if there is none. It `is_prompt` if it
+    has waited for the change.
     """
 
     ticket: str
@@ -37,6 +42,8 @@
     evacuated: tuple[str, ...] = ()
     ended_evacuations: tuple[str, ...] = ()
     is_complete: bool = False
+    changed_in: int = 0
+    is_prompt: bool = False
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/configuring.py
+++ b/laburnumlatch/mesh/configuring.py
@@ -1,8 +1,8 @@
 """System: keeps the operator's configuration up to date.
 
-The configuration is read from the store and then watched for changes. A lower
-version never replaces a higher one. Local settings that have changed are
-applied here too.
+The configuration is read from the store and then watched for changes, which
+`tableviews` sees to. A lower version never replaces a higher one. Local
+settings that have changed are applied here too.
 """
 
 import attrs
@@ -11,15 +11,15 @@
 from laburnumlatch.core import storemsg
 from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import splitting
+from laburnumlatch.mesh import tableviews
 from laburnumlatch.mesh.evacuation import domains
 
 TICKET = 'configuration/'
 READ_TICKET = 'configuration/read'
 WATCH_TICKET = 'configuration/watch'
+POLL_TICKET = 'configuration/poll'
 WATCH_TIMEOUT_MS = 28_000
 READ_INTERVAL_MS = 2000
-# Used if the planner has a newer version: the watch may have stalled.
-OUTDATED_READ_INTERVAL_MS = 500
 
 _log = logs.logger('configuration')
 
@@ -29,22 +29,37 @@
     for changed in agent.inbox.take(configmsg.SettingsChanged):
         _apply_settings(agent, changed.settings)
     for failed in agent.inbox.take_answers(storemsg.StoreFailed, TICKET):
-        _log.warning(
-            'store-call-failed', call=failed.ticket, detail=failed.detail
-        )
-        agent.is_watching_configuration = False
-        retry_ms = agent.configuration_retry.record_failure(agent.rng)
-        agent.timers.put(READ_TICKET, now + retry_ms)
+        _process_failure(agent, failed, now)
     for read in agent.inbox.take(configmsg.ConfigurationRead):
-        _apply_read(agent, read)
+        _apply_read(agent, read, now)
+    _read_or_poll(agent, now)
+
+
+def _read_or_poll(agent, now):
+    """Read all rows, or ask for changes that the watch may have missed."""
+    view = agent.operator_view
+    if view.needs_read:
+        if agent.due(READ_TICKET, READ_INTERVAL_MS, now):
+            agent.outbox.post(configmsg.ReadConfiguration(READ_TICKET))
+        return
     is_outdated = (
         agent.lease.configuration_version > agent.configuration_version
     )
-    if agent.is_watching_configuration and not is_outdated:
-        return
-    interval_ms = OUTDATED_READ_INTERVAL_MS if is_outdated else READ_INTERVAL_MS
-    if agent.due(READ_TICKET, interval_ms, now):
-        agent.outbox.post(configmsg.ReadConfiguration(READ_TICKET))
+    must_poll = is_outdated or tableviews.must_poll(agent, view, 0, now)
+    if must_poll and agent.due(POLL_TICKET, tableviews.POLL_INTERVAL_MS, now):
+        agent.outbox.post(
+            configmsg.WatchConfiguration(POLL_TICKET, view.known_to, 0)
+        )
+
+
+def _process_failure(agent, failed, now):
+    """Read all rows again: changes may be lost, or out of the history."""
+    _log.warning('store-call-failed', call=failed.ticket, detail=failed.detail)
+    view = agent.operator_view
+    view.needs_read = True
+    if failed.ticket == WATCH_TICKET:
+        view.is_watched = False
+    agent.timers.put(READ_TICKET, now + view.retry.record_failure(agent.rng))
 
 
 def _apply_settings(agent, settings):
@@ -58,19 +73,21 @@
     agent.settings = applied
 
 
-def _apply_read(agent, read):
+def _apply_read(agent, read, now):
     """Apply the newest version that was read, and start the next watch."""
-    domains.update(agent, read, agent.now)
-    agent.configuration_updated_at = agent.now
-    agent.configuration_retry.record_success()
+    view = agent.operator_view
+    domains.update(agent, read, now)
+    tableviews.update(view, read.store_version, read.changed_in, now)
     newest = agent.configuration
     for configuration in read.configurations:
         if newest is None or configuration.version > newest.version:
             newest = configuration
     if newest is not None and newest is not agent.configuration:
         _put_in_force(agent, newest)
-    if read.ticket == WATCH_TICKET or not agent.is_watching_configuration:
-        agent.is_watching_configuration = True
+    if read.is_complete:
+        view.needs_read = False
+    if read.ticket == WATCH_TICKET or not view.is_watched:
+        view.is_watched = True
         agent.outbox.post(
             configmsg.WatchConfiguration(
                 WATCH_TICKET, read.store_version, WATCH_TIMEOUT_MS
--- a/laburnumlatch/mesh/evacuation/domains.py
+++ b/laburnumlatch/mesh/evacuation/domains.py
@@ -126,13 +126,13 @@
     """Return since when new evacuations of a read may exist, None if unknown.
 
     A watch reports them at once, unless this process was paused. Those of a
-    full read may be as old as the last response before it, or of any age if
-    there was none. So the bound is never assumed to end later than it does,
+    read or a poll may be as old as the last response before it, or of any age
+    if there was none. So the bound is never assumed to end later than it does,
     also after an outage of the store.
     """
-    if not read.is_complete:
+    if read.is_prompt:
         is_resuming = (
             agent.resumed_at is not None and now < agent.resumed_at + RESUME_MS
         )
         return agent.paused_at if is_resuming else now
-    return agent.configuration_updated_at or None
+    return agent.operator_view.updated_at or None
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -217,12 +217,12 @@
     yield (
         'configuration_age_seconds',
         'Time since the store last reported the configuration.',
-        _age_s(now, agent.configuration_updated_at),
+        _age_s(now, agent.operator_view.updated_at),
     )
     yield (
         'members_age_seconds',
         'Time since the store last reported the hosts.',
-        _age_s(now, agent.members_updated_at),
+        _age_s(now, agent.members_view.updated_at),
     )
 
 
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -60,7 +60,9 @@
     `configuration_version` is that in force at the planner. `issued_at` is by
     the planner's clock: the host's next renewal returns it, which proves that
     the renewal was sent after that time. If it `is_provisional`, the plans may
-    be older than those in force (see `planepochs`).
+    be older than those in force (see `planepochs`). `operator_version` and
+    `members_version` are versions of the store: those of the newest changes by
+    the operator and of rows of hosts that the planner knows.
     """
 
     holder: str
@@ -73,6 +75,8 @@
     configuration_version: int = 0
     issued_at: int = 0
     is_provisional: bool = False
+    operator_version: int = 0
+    members_version: int = 0
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -19,6 +19,7 @@
 from laburnumlatch.mesh import planepochs
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import role
+from laburnumlatch.mesh import tableviews
 from laburnumlatch.mesh.overload import forecast
 from laburnumlatch.mesh.pacing import coldness
 from laburnumlatch.mesh.pacing import serverload
@@ -100,7 +101,7 @@
         life=life,
         slots=0 if life is None else serverload.usable_slots(backend),
         is_leaving=_is_leaving(agent),
-        has_store=agent.role.has_store and agent.is_watching_members,
+        has_store=agent.role.has_store and agent.members_view.is_watched,
         plan_versions=_plan_versions(agent),
         busy_ms=report.busy_ms,
         done=report.done,
@@ -151,6 +152,8 @@
         agent.lease.plan_versions = lease.plan_versions
         agent.lease.configuration_version = lease.configuration_version
         agent.lease.is_provisional = lease.is_provisional
+        tableviews.compare(agent.operator_view, lease.operator_version, now)
+        tableviews.compare(agent.members_view, lease.members_version, now)
         _send_newer_plans(agent, lease, now)
 
 
@@ -186,6 +189,8 @@
         configuration_version=agent.configuration_version,
         issued_at=now,
         is_provisional=planepochs.are_leases_provisional(agent),
+        operator_version=agent.operator_view.changed_in,
+        members_version=agent.members_view.changed_in,
     )
     if renew.host_id == agent.host_id:
         _process_lease(agent, lease, now)
--- a/laburnumlatch/mesh/members.py
+++ b/laburnumlatch/mesh/members.py
@@ -1,8 +1,8 @@
 """System: keeps the hosts and plans up to date from the rows of the store.
 
-The rows of hosts are read once and then watched. Plans come from the planner,
-and from the store if one does not arrive. This host's row is written whenever
-it differs from the state of the backend server.
+The rows of hosts are read once and then watched, which `tableviews` sees to.
+Plans come from the planner, and from the store if one does not arrive. This
+host's row is written whenever it differs from the state of the backend server.
 """
 
 from laburnumlatch.core import errors
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import rows
+from laburnumlatch.mesh import tableviews
 from laburnumlatch.mesh.pacing import coldness
 
 TABLE = 'mesh/'
@@ -23,12 +24,16 @@
 TICKET = 'members/'
 SCAN_TICKET = 'members/scan'
 WATCH_TICKET = 'members/watch'
+POLL_TICKET = 'members/poll'
 ROW_TICKET = 'members/row'
 PLANS_TICKET = 'members/plans'
 WATCH_TIMEOUT_MS = 28_000
 # Pause after changes before the next watch: hosts that start or stop together
 # write their rows together, and each watch that ends costs a call.
 WATCH_PAUSE_MS = 500
+# Rows that the planner knows, and this agent does not, may still come by the
+# watch within this time.
+BEHIND_MS = 2 * WATCH_PAUSE_MS
 # How often this host's row is compared with its state.
 OWN_ROW_CHECK_MS = 100
 # The planner sends plans directly. The store is read if a plan has not arrived
@@ -44,10 +49,7 @@
 
 def run(agent, now):
     """Apply changed rows and plans, and keep this host's row up to date."""
-    if not agent.is_watching_members and agent.due(
-        SCAN_TICKET, CALL_TIMEOUT_MS, now
-    ):
-        agent.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
+    _read_or_poll(agent, now)
     _resume_watch(agent, now)
     for message in agent.inbox.take(planmsg.PlanTold):
         update_plan(agent, message.plan, message.row_version)
@@ -170,13 +172,14 @@
 def _process_failure(agent, failed, now):
     """Schedule the retry of a failed store call."""
     _log.warning('store-call-failed', call=failed.ticket, detail=failed.detail)
+    view = agent.members_view
     if failed.ticket == WATCH_TICKET:
+        view.is_watched = False
+    if failed.ticket in {WATCH_TICKET, SCAN_TICKET, POLL_TICKET}:
         # Changes may be lost, or no longer in the store's history: read all
         # rows again.
-        agent.is_watching_members = False
-        agent.members_watch_version = None
-    if failed.ticket in {WATCH_TICKET, SCAN_TICKET}:
-        retry_at = now + agent.members_retry.record_failure(agent.rng)
+        view.needs_read = True
+        retry_at = now + view.retry.record_failure(agent.rng)
         agent.timers.put(SCAN_TICKET, retry_at)
         agent.wake_at(retry_at)
     elif failed.ticket == ROW_TICKET:
@@ -187,41 +190,57 @@
             agent.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
 
 
+def _read_or_poll(agent, now):
+    """Read all rows, or ask for changes that the watch may have missed."""
+    view = agent.members_view
+    if view.needs_read:
+        if agent.due(SCAN_TICKET, CALL_TIMEOUT_MS, now):
+            agent.outbox.post(storemsg.StoreRead(SCAN_TICKET, TABLE))
+        return
+    must_poll = tableviews.must_poll(agent, view, BEHIND_MS, now)
+    if must_poll and agent.due(POLL_TICKET, tableviews.POLL_INTERVAL_MS, now):
+        agent.outbox.post(
+            storemsg.StoreWatch(POLL_TICKET, TABLE, view.known_to, 0)
+        )
+
+
 def _resume_watch(agent, now):
     """Start the next watch once its pause is over."""
-    if agent.members_watch_version is None:
+    view = agent.members_view
+    if view.watch_at is None or not view.is_watched:
         return
-    if now < agent.members_watch_at:
-        agent.wake_at(agent.members_watch_at)
+    if now < view.watch_at:
+        agent.wake_at(view.watch_at)
         return
+    view.watch_at = None
     agent.outbox.post(
         storemsg.StoreWatch(
-            WATCH_TICKET, TABLE, agent.members_watch_version, WATCH_TIMEOUT_MS
+            WATCH_TICKET, TABLE, view.known_to, WATCH_TIMEOUT_MS
         ),
     )
-    agent.members_watch_version = None
 
 
 def _process_read(agent, read, now):
     """Apply the rows of a read or watch, and schedule the next watch."""
-    agent.members_retry.record_success()
     if read.ticket == PLANS_TICKET:
         agent.has_plans = True
         apply_rows(agent, read.rows)
         return
-    if read.ticket == WATCH_TICKET or not agent.is_watching_members:
-        agent.is_watching_members = True
-        agent.members_watch_version = read.version
+    view = agent.members_view
+    if read.ticket == WATCH_TICKET or not view.is_watched:
+        view.is_watched = True
         pause_ms = WATCH_PAUSE_MS if read.rows else 0
-        agent.members_watch_at = now + pause_ms
-        agent.wake_at(agent.members_watch_at)
+        view.watch_at = now + pause_ms
+        agent.wake_at(view.watch_at)
     if not agent.has_members:
         _log.info('members-known', version=read.version)
     agent.has_members = True
     if read.ticket == SCAN_TICKET:
+        view.needs_read = False
         _find_own_row(agent, read.rows)
     apply_rows(agent, read.rows)
-    agent.members_updated_at = agent.now
+    changed_in = max((row.version for row in read.rows), default=0)
+    tableviews.update(view, read.version, changed_in, now)
 
 
 def _find_own_row(agent, store_rows):
@@ -252,7 +271,7 @@
     if host is None:
         host = agent.hosts.put(record.host_id, rows.Host(record, version))
         # Rows of the first read may be old.
-        if agent.members_updated_at:
+        if agent.members_view.updated_at:
             coldness.expect_cold_start(agent, host, agent.now)
     elif host.version < version:
         if host.record != record:
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -14,6 +14,7 @@
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
+from laburnumlatch.mesh import plannercontact
 
 TABLE = 'roles/'
 ROW = 'roles/planner'
@@ -30,10 +31,8 @@
 REJECTED_RETRY_MS = 400
 # The role is taken from a holder whose row has not changed for this time.
 STALE_ROW_MS = 1600
-# An agent reads the row if it has received nothing from the planner for this
-# time. Agents start reading one after another, so that usually only one of
-# them writes.
-PLANNER_SILENCE_MS = 1500
+# Agents read the row one after another once the planner is silent, so that
+# usually only one of them writes.
 STAGGER_MS = 60
 MAX_STAGGERS = 12
 # A planner that uses a whole core fills a link of this many Mbit/s.
@@ -262,14 +261,14 @@
 def _watch_holder(agent, now):
     """Read the row if the planner is silent; take the role if it is stale."""
     lease = agent.lease
-    is_followed = agent.role.holder and lease.planner_has_store
-    if is_followed and now < lease.planner_contact_at + PLANNER_SILENCE_MS:
-        agent.wake_at(lease.planner_contact_at + PLANNER_SILENCE_MS)
+    silent_at = lease.planner_contact_at + plannercontact.PLANNER_SILENCE_MS
+    if plannercontact.follows_planner(agent, now):
+        agent.wake_at(silent_at)
         return
-    patience_ms = PLANNER_SILENCE_MS + _takeover_rank(agent) * STAGGER_MS
+    stagger_ms = _takeover_rank(agent) * STAGGER_MS
+    due = silent_at + stagger_ms
     if not lease.planner_has_store:
-        patience_ms = _takeover_rank(agent) * STAGGER_MS
-    due = lease.planner_contact_at + patience_ms
+        due = lease.planner_contact_at + stagger_ms
     if agent.role.holder and now < due:
         agent.wake_at(due)
         return
--- a/laburnumlatch/platform/configlink.py
+++ b/laburnumlatch/platform/configlink.py
@@ -24,7 +24,8 @@
 
         Raises `errors.StoreError` if the call fails.
         """
-        if isinstance(message, configmsg.ReadConfiguration):
+        is_complete = isinstance(message, configmsg.ReadConfiguration)
+        if is_complete:
             changes = await self._store.read(TABLE)
         else:
             changes = await self._store.watch(
@@ -36,7 +37,9 @@
             changes.version,
             evacuated=_domains(row.key for row in changes.rows),
             ended_evacuations=_domains(changes.removed),
-            is_complete=isinstance(message, configmsg.ReadConfiguration),
+            is_complete=is_complete,
+            changed_in=changes.changed_in,
+            is_prompt=not is_complete and message.wait_ms > 0,
         )
 
 
--- a/laburnumlatch/platform/storepages.py
+++ b/laburnumlatch/platform/storepages.py
@@ -28,12 +28,14 @@
     """The valid rows of one response, and the keys of removed ones.
 
     `last_key` is the key of the last row if more pages follow, else None.
+    `changed_in` is the version of the newest row or removal, 0 without any.
     """
 
     rows: tuple
     version: int
     last_key: str | None
     removed: tuple = ()
+    changed_in: int = 0
 
 
 def decode(document, epoch):
@@ -79,6 +81,7 @@
             for key, removed_in in removals.items()
             if removed_in > written.get(key, -1)
         ),
+        max((*written.values(), *removals.values()), default=0),
     )
 
 
--- a/laburnumlatch/platform/tablestore.py
+++ b/laburnumlatch/platform/tablestore.py
@@ -94,7 +94,8 @@
             # The smallest key above the last one.
             start = f'{page.last_key}\0'
         matching = tuple(row for row in rows if row.key.startswith(table))
-        return storemsg.Changes(matching, version)
+        changed_in = max((row.version for row in matching), default=0)
+        return storemsg.Changes(matching, version, changed_in=changed_in)
 
     async def watch(self, table, after, wait_ms):
         """Return the changes after a version; none if `wait_ms` pass first.
@@ -161,7 +162,9 @@
         if epoch != versions.epoch_of(after):
             raise errors.HistoryGoneError('the store was restored')
         page = storepages.decode(document, epoch)
-        return storemsg.Changes(page.rows, page.version, page.removed)
+        return storemsg.Changes(
+            page.rows, page.version, page.removed, page.changed_in
+        )
 
     async def _call(self, path, query, timeout_ms=TIMEOUT_MS, **options):
         """Return the decoded JSON of a response, and the epoch of the store.
--- a/tests/test_store_retries.py
+++ b/tests/test_store_retries.py
@@ -48,7 +48,7 @@
         run_outage(fleet)
         for agent in fleet.agents.values():
             assert agent.configuration_version == 2
-            assert agent.is_watching_members
+            assert agent.members_view.is_watched
 
     def test_row_of_a_draining_server_is_written_soon(self):
         """Guards against a host's row that is still missing after an outage.
