Do not fail at the end of the output to a caller who has left

Behind the last response of a connection `CallerOutput.end` shuts its sending side down. If the caller has closed by then, the response has made its host reset the connection, and the shutdown raises ENOTCONN. It left `Engine._tick`, and the messages that the tick had taken for other callers were lost.

Now such a connection is aborted, as when a write fails.

--- a/laburnumlatch/platform/calleroutput.py
+++ b/laburnumlatch/platform/calleroutput.py
@@ -2,9 +2,12 @@
 
 import collections
 
+from laburnumlatch.core import logs
 from laburnumlatch.core import piecewriter
 from laburnumlatch.core import sockets
 
+_log = logs.logger('callers')
+
 
 class CallerOutput:
     """Writes responses as the caller takes them.
@@ -83,9 +86,15 @@
     def end(self):
         """Send the end of the output behind what was written."""
         self._is_last_written = True
-        if not len(self._writer) and not self._is_ended:
-            self._is_ended = True
+        if len(self._writer) or self._is_ended:
+            return
+        self._is_ended = True
+        try:
             self._transport.write_eof()
+        except OSError as error:
+            # The caller has left, and its host has reset the connection.
+            _log.info('caller-gone', detail=error)
+            self._transport.abort()
 
     def clear(self):
         """Drop what was not handed over: the connection is lost."""
