--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,60 +18,114 @@
 import random
 import sys
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
 import lab3
+import lab3io
 
-LOOKUP, BOOKING = 'lookup', 'booking'
-SERVICES = [LOOKUP] * 10 + [BOOKING] * 3
-HOSTS = {LOOKUP: 'lookup.example', BOOKING: 'booking.example'}
+FOLDER = pathlib.Path(__file__).resolve().parent
+LOOKUP = 'lookup'
+BOOKING = 'booking'
+LOOKUP_HOSTS = 10
+BOOKING_HOSTS = 3
 # Work at the usual speed, and how many percent it takes at a slow server.
-LOOKUP_MS, BOOKING_MS, SLOW_PERCENT = 0.05, 1200, 1200
-LOOKUP_PAUSE_S, BOOKING_PAUSE_S, BOOKING_CLIENTS = 0.4, 0.3, 6
+LOOKUP_MS = 0.05
+BOOKING_MS = 1200
+USUAL_PERCENT = 100
+SLOW_PERCENT = 1200
 # Of ten servers four are slow, at most 0.4 of them, for nine seconds.
-SLOW_SERVERS, SLOW_S = 4, 9
-USUAL_S, TIMES, STOP_AFTER_S, PAUSE_S = 5, 4, 2, 6
+SLOW_SERVERS = 4
+SLOW_S = 9
+TIMES = 4
+USUAL_S = 5
+STOP_AFTER_S = 2
+PAUSE_S = 6
+LOOKUP_PAUSE_S = 0.4
+BOOKING_PAUSE_S = 0.3
+BOOKING_CLIENTS = 6
+BOOKING_SLOTS = 40
+KEY_STEP = 8192
 # `grace`, a restart, and `contact`.
 EXCUSED_MS = 10_000
 MAX_LOST = 3
 
 
-async def look_up(lab, number, is_over):
-    """Send quick lookups, one after the other, from a client on a host."""
-    client = lab3.Client(lab, number)
-    while not is_over():
-        await client.ask(
-            HOSTS[LOOKUP], '/items/x', key=random.randrange(lab3.KEYS)
-        )
-        await asyncio.sleep(LOOKUP_PAUSE_S)
-    client.close()
-
-
-async def book(lab, number, lost, is_over):
-    """Send bookings, one after the other, and collect those that are lost."""
-    client = lab3.Client(lab, number)
-    while not is_over():
-        status, request_id, _body = await client.ask(
-            HOSTS[BOOKING],
-            '/book/x',
-            method='POST',
-            left_ms=2500,
-            body=b'rack',
-        )
-        has_run = request_id in lab.runs
-        if not status and client.was_kept and client.was_closed and has_run:
-            lab.record.line(f'lost {request_id}: it ran, agent {number} closed')
-            lost.append((number, lab3.now_ms()))
-        await asyncio.sleep(BOOKING_PAUSE_S if status else 0.5)
-    client.close()
+class Case:
+    """One play of the case.
 
+    `lost` has the (host, time in ms) of requests that were lost there, `stops`
+    those of planned stops.
+    """
 
-def route(service, prefix, kind):
-    """Return a route to a service."""
+    def __init__(self, lab):
+        """Play in a `lab3.Lab`."""
+        self.lost = []
+        self.stops = []
+        self.is_over = False
+        self._lab = lab
+
+    async def look_up(self, number):
+        """Send quick lookups from a client on a host."""
+        client = lab3.Client(self._lab, number, 'GET', route(LOOKUP, 'safe'))
+        while not self.is_over:
+            await client.ask(random.randrange(lab3.KEYS))
+            await asyncio.sleep(LOOKUP_PAUSE_S)
+
+    async def book(self, number):
+        """Send bookings from a client on a host; note those that are lost."""
+        client = lab3.Client(
+            self._lab, number, 'POST', route(BOOKING, 'non_idempotent')
+        )
+        while not self.is_over:
+            await client.ask()
+            has_run = client.request_id in self._lab.runs
+            connection = client.connection
+            if connection.was_kept and connection.was_closed and has_run:
+                self.lost.append((number, lab3io.now_ms()))
+                self._lab.record.line(
+                    f'request {client.request_id}: has run, and was lost'
+                )
+            await asyncio.sleep(BOOKING_PAUSE_S)
+
+    async def disturb(self):
+        """Make servers slow, and stop the planner as planned."""
+        lookups = [
+            server
+            for server in self._lab.servers.values()
+            if server.service == LOOKUP
+        ]
+        for server in random.sample(lookups, SLOW_SERVERS):
+            if lab3.is_troubled():
+                server.load_percent = SLOW_PERCENT
+                self._lab.record.line(f'server {server.number} turns slow')
+        await asyncio.sleep(STOP_AFTER_S)
+        planner = self._lab.planner()
+        self._lab.record.line(f'planned stop of agent {planner}, the planner')
+        self.stops.append((planner, lab3io.now_ms()))
+        self._lab.agents[planner].stop_as_planned()
+        await asyncio.sleep(SLOW_S - STOP_AFTER_S)
+        for one in lookups:
+            one.load_percent = USUAL_PERCENT
+        self._lab.record.line('all servers have their usual speed')
+        await asyncio.sleep(PAUSE_S)
+
+    def count_lost(self):
+        """Return how many requests were lost that no planned stop excuses."""
+        excused = [
+            (number, at)
+            for number, at in self.lost
+            if any(
+                number == stopped and at - EXCUSED_MS <= stopped_at <= at
+                for stopped, stopped_at in self.stops
+            )
+        ]
+        return len(self.lost) - len(excused)
+
+
+def route(service, kind):
+    """Return the route to a service."""
     return {
         'name': service,
-        'host': HOSTS[service],
-        'path_prefix': prefix,
+        'host': f'{service}.example',
+        'path_prefix': f'/{service}/',
         'kind': kind,
         'service': service,
         'timeout': '2500ms',
@@ -81,91 +135,53 @@
     }
 
 
-def set_speed(lab, servers, percent):
-    """Let work at some servers take so many percent of its usual time."""
-    names = ', '.join(str(server.number) for server in servers)
-    lab.record.line(f'work at servers {names} takes {percent} percent')
-    for server in servers:
-        server.load_percent = percent
-
-
-async def main():
-    """Play the case; return its exit status."""
-    lab = lab3.Lab(FOLDER, SERVICES, sharded=[LOOKUP])
-    try:
-        return await play(lab)
-    finally:
-        await lab.stop()
+def prepare():
+    """Return the `lab3.Lab` of the case."""
+    services = [LOOKUP for _ in range(LOOKUP_HOSTS)]
+    services += [BOOKING for _ in range(BOOKING_HOSTS)]
+    lab = lab3.Lab(FOLDER, services, {LOOKUP}, LOOKUP_MS)
+    for server in lab.servers.values():
+        if server.service == BOOKING:
+            server.work_ms = BOOKING_MS
+            server.slots = BOOKING_SLOTS
+    lab.configure([route(LOOKUP, 'safe'), route(BOOKING, 'non_idempotent')])
+    return lab
 
 
 async def play(lab):
-    """Send requests, make machines slow, stop the planner, count the lost."""
-    lab.configure([
-        route(LOOKUP, '/items/', 'safe'),
-        route(BOOKING, '/book/', 'non_idempotent'),
-    ])
-    for server in lab.servers.values():
-        server.load_percent = 100
-        server.slots = 40
-        server.work_ms = BOOKING_MS
-        if server.service == LOOKUP:
-            server.work_ms = LOOKUP_MS
+    """Play the case; return its exit status."""
     await lab.start()
-    await lab.wait_ready()
-    await lab.wait_served(
-        1, HOSTS[LOOKUP], '/items/x', range(0, lab3.KEYS, 8192)
-    )
-    if any(agent.ends for agent in lab.agents.values()):
-        raise lab3.UnableError('an agent ended before the case began')
-    ends_at = lab3.now_ms() + 1000 * (USUAL_S + TIMES * (SLOW_S + PAUSE_S))
-    lost = []
-    clients = [
-        asyncio.ensure_future(work)
+    first = lab3.Client(lab, 1, 'GET', route(LOOKUP, 'safe'))
+    await lab.wait_served(first.ask, range(0, lab3.KEYS, KEY_STEP))
+    case = Case(lab)
+    clients = [asyncio.ensure_future(case.look_up(one)) for one in lab.agents]
+    clients += [
+        asyncio.ensure_future(case.book(number))
         for number in lab.agents
-        for work in (
-            look_up(lab, number, lambda: lab3.now_ms() >= ends_at),
-            *(
-                book(lab, number, lost, lambda: lab3.now_ms() >= ends_at)
-                for _ in range(BOOKING_CLIENTS)
-            ),
-        )
+        for _ in range(BOOKING_CLIENTS)
     ]
     await asyncio.sleep(USUAL_S)
-    stops = {}
-    lookups = [one for one in lab.servers.values() if one.service == LOOKUP]
     for _ in range(TIMES):
-        slow = random.sample(lookups, SLOW_SERVERS)
-        set_speed(lab, slow, SLOW_PERCENT if lab3.is_troubled() else 100)
-        await asyncio.sleep(STOP_AFTER_S)
-        stopped = lab.planner()
-        lab.record.line(f'planned stop of agent {stopped}, the planner')
-        stops.setdefault(stopped, []).append(lab3.now_ms())
-        lab.agents[stopped].stop_as_planned()
-        await asyncio.sleep(SLOW_S - STOP_AFTER_S)
-        set_speed(lab, slow, 100)
-        await asyncio.sleep(PAUSE_S)
+        await case.disturb()
+    case.is_over = True
     await asyncio.gather(*clients)
-    lost = [
-        (number, at)
-        for number, at in lost
-        if not any(
-            at - EXCUSED_MS <= stop <= at for stop in stops.get(number, ())
-        )
+    return judge(lab, case.count_lost())
+
+
+def judge(lab, lost):
+    """Report what was seen; return the exit status."""
+    ends = {number: lab.agents[number].ends for number in lab.agents}
+    summary = f'lost: {lost} requests; ends of processes by themselves: {ends}'
+    failures = [
+        f'agent {number}: {line}'
+        for number in lab.agents
+        for line in lab.agents[number].log_lines('tick-failed')
     ]
-    ends = {
-        number: own_ends
-        for number, agent in lab.agents.items()
-        if (own_ends := sum(not asked for _at, _status, asked in agent.ends))
-    }
-    summary = f'lost: {len(lost)} requests; ended by themselves: {ends}'
-    lab.record.line(summary)
-    sys.stdout.write(f'{summary}\n')
-    for number in ends:
-        for line in lab.agents[number].log_lines('tick-failed'):
-            lab.record.line(f'log of agent {number}: {line}')
-            sys.stdout.write(f'agent {number}: {line}\n')
-    return lab3.BROKEN if len(lost) > MAX_LOST else lab3.PASSED
+    for line in (summary, *failures):
+        lab.record.line(line)
+        sys.stdout.write(f'{line}\n')
+    return lab3.BROKEN if lost > MAX_LOST else lab3.PASSED
 
 
 if __name__ == '__main__':
-    lab3.run_case(main)
+    lab3.run_case(prepare(), play)
--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec env PYTHONPATH=../../target/deps PYTHONDONTWRITEBYTECODE=1 python3 case.py
+cd "$(dirname "$0")" && PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
