--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,7 @@
 """Quick lookups at slow servers: the planner's process must not end.
 
-Ten hosts serve quick lookups of a service divided by key, three serve longer
-bookings. Four times, four servers of the lookups turn slow for nine seconds:
+Five hosts serve quick lookups of a service divided by key, two serve longer
+bookings. Six times, two servers of the lookups turn slow for nine seconds:
 work takes twelve times as long, and the fourth figure of `X-Backend-Load` says
 so. Each time the agent that is the planner is stopped and started again, as
 planned work does. With TROUBLE=0 no server turns slow, and the rest is the
@@ -24,21 +24,21 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 LOOKUP = 'lookup'
 BOOKING = 'booking'
-LOOKUP_HOSTS = 10
-BOOKING_HOSTS = 3
+LOOKUP_HOSTS = 5
+BOOKING_HOSTS = 2
 # Work at the usual speed, and how many percent it takes at a slow server.
 LOOKUP_MS = 0.05
 BOOKING_MS = 1200
 USUAL_PERCENT = 100
 SLOW_PERCENT = 1200
-# Of ten servers four are slow, at most 0.4 of them, for nine seconds.
-SLOW_SERVERS = 4
+# Of five servers two are slow, at most 0.4 of them, for nine seconds.
+SLOW_SERVERS = 2
 SLOW_S = 9
-TIMES = 4
+TIMES = 6
 USUAL_S = 5
 STOP_AFTER_S = 2
-PAUSE_S = 6
-LOOKUP_PAUSE_S = 0.4
+PAUSE_S = 3
+LOOKUP_PAUSE_S = 0.3
 BOOKING_PAUSE_S = 0.3
 BOOKING_CLIENTS = 6
 BOOKING_SLOTS = 40
