Name the place of the cause when a tick fails

The line now has the system, the error itself and module.function:line.

test_failing_tick_names_the_cause failed before (place of the wrapper).

--- a/laburnumlatch/core/engine.py
+++ b/laburnumlatch/core/engine.py
@@ -1,7 +1,6 @@
 """Scheduler that connects front ends and systems and runs the ticks."""
 
 import asyncio
-import traceback
 from collections import abc
 
 import attrs
@@ -10,6 +9,7 @@
 from laburnumlatch.core import faultmsg
 from laburnumlatch.core import logs
 from laburnumlatch.core import looptimes
+from laburnumlatch.core import tracebacks
 
 # After a long pass of the loop, a tick is deferred by up to this many further
 # polls of the sockets. So it also sees a caller's close that was waiting behind
@@ -128,9 +128,14 @@
         try:
             request_id = handler.give_up(message)
         except Exception as second_error:
-            _log.error('give-up-failed', kind=kind, **_describe(second_error))
+            _log.error(
+                'give-up-failed', kind=kind, **tracebacks.describe(second_error)
+            )
         _log.error(
-            'message-failed', kind=kind, request=request_id, **_describe(error)
+            'message-failed',
+            kind=kind,
+            request=request_id,
+            **tracebacks.describe(error),
         )
         self.post(faultmsg.MessageFailed(kind))
 
@@ -140,13 +145,15 @@
         If it was raised by input, asyncio has closed that connection.
         """
         error = context.get('exception')
-        described = {} if error is None else _describe(error)
+        described = {} if error is None else tracebacks.describe(error)
         _log.error('callback-failed', what=context['message'], **described)
         self.post(faultmsg.CallbackFailed())
 
     def _fail(self, error):
         """Run no further tick, and report why."""
-        _log.error('tick-failed', **_describe(error))
+        system = getattr(error, 'system', '')
+        cause = error.__cause__ or error
+        _log.error('tick-failed', system=system, **tracebacks.describe(cause))
         self._has_failed = True
         if self._on_failure is not None:
             self._on_failure(error)
@@ -173,10 +180,3 @@
     def _wake_by_timer(self):
         self._wake_timer = None
         self.wake()
-
-
-def _describe(error):
-    """Return what a log line says of an error, and where it was raised."""
-    frames = traceback.extract_tb(error.__traceback__)
-    place = f'{frames[-1].name}:{frames[-1].lineno}' if frames else ''
-    return {'detail': repr(error), 'place': place}
--- a/laburnumlatch/core/errors.py
+++ b/laburnumlatch/core/errors.py
@@ -27,7 +27,12 @@
 
 
 class SystemFailedError(LaburnumlatchError):
-    """A system has raised in a tick; the message names it and its error."""
+    """A system has raised in a tick; its error is the cause of this one."""
+
+    def __init__(self, system):
+        """Take the name of the system."""
+        self.system = system
+        super().__init__(f'system {system} failed')
 
 
 class StoreError(LaburnumlatchError):
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -80,6 +80,6 @@
         try:
             run(agent, now)
         except Exception as error:
-            raise errors.SystemFailedError(f'{name}: {error!r}') from error
+            raise errors.SystemFailedError(name) from error
         if on_system_run is not None:
             on_system_run(name)
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -5,6 +5,7 @@
 import random
 from unittest import mock
 
+import logbook
 import pytest
 
 from laburnumlatch.core import clock
@@ -16,6 +17,7 @@
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import configmsg
 from laburnumlatch.mesh import processmsg
+from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import routes
 from laburnumlatch.mesh import ticks
 from laburnumlatch.platform import responsebytes
@@ -112,6 +114,23 @@
         assert failed == [ERROR]
         assert failing.call_count == 1
 
+    async def test_failing_tick_names_the_cause(self, monkeypatch):
+        """Guards against a log line that names the place of the wrapper.
+
+        It was the same for every fault, so on-call could not see which line
+        had raised.
+        """
+        systems = (('planner', lambda _agent, _now: ranges.divide_equally([])),)
+        monkeypatch.setattr(ticks, '_NAMED_SYSTEMS', systems)
+        with logbook.TestHandler() as handler:
+            running = _create_engine(ticks.tick)
+            running.wake()
+            await fronts.wait_until(lambda: handler.records)
+            line = handler.records[0].message
+        assert line.startswith('tick-failed system=planner')
+        assert 'detail="ZeroDivisionError(' in line
+        assert 'place=ranges.divide_equally' in line
+
 
 class TestProcess:
     """An agent one of whose systems fails."""
