Count quick work in microseconds, and take no speed from a time of 0

Cause: a host reports the time of its finished requests at the usual speed of its machine. It rounded the time of each request to whole milliseconds after dividing it by the slowness, so work of 1 ms at a machine that is three times as slow counted as 0.

Ruled out: a slowness of 0 (the reader bounds it), other divisions by means of work times (their samples are 1 ms / 30 at least), capacities of cold servers, the load's mean (bounded).

Now a host sums up unrounded times and reports microseconds in a new last field, which agents of earlier builds leave out; and the planner takes reports without any time, which those may still send, for no sign of speed. So no sound agent's report makes a mean of 0, and slow hosts no longer look many times faster than others.

test_quick_work fails before: test_planner_goes_on with the same ZeroDivisionError, test_slow_hosts_look_no_faster likewise, test_work_without_time_tells_no_speed with a mean of 0.0.

--- a/laburnumlatch/core/clock.py
+++ b/laburnumlatch/core/clock.py
@@ -4,6 +4,7 @@
 import time
 
 MS_PER_S = 1000
+US_PER_MS = 1000
 NS_PER_MS = 1_000_000
 
 
--- a/laburnumlatch/mesh/bucketloads.py
+++ b/laburnumlatch/mesh/bucketloads.py
@@ -45,8 +45,11 @@
         loads.started_at = now
     for bucket, count in renew.buckets:
         loads.counts[bucket] = loads.counts.get(bucket, 0) + count
-    if renew.done:
-        sample = renew.busy_ms / renew.done
+    busy_ms = _busy_ms(renew)
+    # Without any time the work was too quick for the clock of the host, which
+    # tells nothing of its speed.
+    if renew.done and busy_ms:
+        sample = busy_ms / renew.done
         mean = loads.mean_ms.get(renew.host_id, sample)
         finished = loads.finished.get(renew.host_id, 0) + renew.done
         loads.finished[renew.host_id] = finished
@@ -55,6 +58,16 @@
         loads.mean_ms[renew.host_id] = mean + weight * (sample - mean)
 
 
+def _busy_ms(renew):
+    """Return how long the work took that a renewal reports, in ms.
+
+    An agent of an earlier build reports no microseconds.
+    """
+    if renew.busy_us:
+        return renew.busy_us / clock.US_PER_MS
+    return renew.busy_ms
+
+
 def decay(loads, now):
     """Decay the counts to `now` and drop buckets that have become idle."""
     factor = 0.5 ** ((now - loads.decayed_at) / HALF_LIFE_MS)
--- a/laburnumlatch/mesh/leasemsg.py
+++ b/laburnumlatch/mesh/leasemsg.py
@@ -24,8 +24,9 @@
     work took on its machine in the last seconds, 1 at the usual speed.
 
     The load since the last renewal: `buckets` are pairs (bucket, requests) of
-    the buckets with the most arrivals; `busy_ms` is the time that the `done`
-    finished requests took at the backend server, at its usual speed.
+    the buckets with the most arrivals; `busy_us` is the time in microseconds
+    that the `done` finished requests took at the backend server, at its usual
+    speed. Agents of earlier builds send and read it as `busy_ms` alone.
     """
 
     host_id: str
@@ -47,6 +48,7 @@
     lease_issued_at: int = 0
     cold_ms: int = 0
     slowness: float = 1
+    busy_us: int = 0
 
 
 @records.define(frozen=True)
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -274,5 +274,5 @@
     """
 
     buckets: collections.Counter = attrs.Factory(collections.Counter)
-    busy_ms: int = 0
+    busy_ms: float = 0
     done: int = 0
--- a/laburnumlatch/mesh/leases.py
+++ b/laburnumlatch/mesh/leases.py
@@ -9,6 +9,7 @@
 renewal reports have ended.
 """
 
+from laburnumlatch.core import clock
 from laburnumlatch.core import logs
 from laburnumlatch.mesh import grantends
 from laburnumlatch.mesh import handovers
@@ -103,7 +104,7 @@
         is_leaving=_is_leaving(agent),
         has_store=agent.role.has_store and agent.members_view.is_watched,
         plan_versions=_plan_versions(agent),
-        busy_ms=report.busy_ms,
+        busy_ms=round(report.busy_ms),
         done=report.done,
         wait_ms=forecast.expected_wait_ms(agent),
         grants_end_ms=grants_end_ms,
@@ -114,6 +115,7 @@
         lease_issued_at=agent.lease.issued_at,
         cold_ms=coldness.remaining_ms(agent, now),
         slowness=serverload.usual_slowness(agent),
+        busy_us=round(report.busy_ms * clock.US_PER_MS),
     )
 
 
--- a/laburnumlatch/mesh/worktimes.py
+++ b/laburnumlatch/mesh/worktimes.py
@@ -113,7 +113,7 @@
     if work_time is None:
         work_time = agent.work_times.put(request.route, rows.WorkTime(usual_ms))
     _include(work_time, elapsed_ms)
-    agent.load_report.busy_ms += round(elapsed_ms)
+    agent.load_report.busy_ms += elapsed_ms
     agent.load_report.done += 1
 
 
