Let an error in a step of planning cost that step, not the process

A plan is computed before anything is written, so an error in it changes nothing. Now it costs that service the round; a failed search for moves, evacuation, capacity of cold servers or report of a host costs that step alone, so lost owners are replaced meanwhile. The step is tried again ever later, and at once when hosts report other figures; it is logged with what it was computed from, counted, and shown by status. A planner that can plan nothing for 10 s gives the role up, but not if it has just changed hands, so the role is not passed round. Systems that only count and report lose that run.

--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -11,15 +11,16 @@
 
 import attrs
 
+from laburnumlatch.core import errors
 from laburnumlatch.experiments import fleetbackend
 from laburnumlatch.experiments import fleetconfig
 from laburnumlatch.experiments import fleetgrants
+from laburnumlatch.experiments import fleetplans
 from laburnumlatch.experiments import fleetstore
 from laburnumlatch.experiments import fleetwork
 from laburnumlatch.mesh import agentstate
 from laburnumlatch.mesh import leasemsg
 from laburnumlatch.mesh import messages
-from laburnumlatch.mesh import planmsg
 from laburnumlatch.mesh import processmsg
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import settings
@@ -44,6 +45,8 @@
     `link_ms_per_kb`. Messages to the agents of `paused` hosts are queued.
     The next `plans_to_lose` messages with plans or plan changes are lost. New
     lives of backend servers are dated `wall_offset_ms` ahead of the clock.
+    If `restart_ms` is set, an agent whose tick raises ends, and is started
+    again after that time; `failures` lists (host ID, name of the system).
 
     `violations` lists breaches of the one-owner rule, `early_grants` keys that
     were granted while another server still worked on them, `low_fences` grants
@@ -77,6 +80,8 @@
         self.interrupted_requests = []
         self.plans_to_lose = 0
         self.wall_offset_ms = 0
+        self.restart_ms = None
+        self.failures = []
         self.sent_plans = []
         self.link_ms_per_kb = 0
         self.outcomes = {}
@@ -229,6 +234,7 @@
     def _create_transports(self):
         self._request_transport = fleetwork.RequestTransport(self)
         self.grants = fleetgrants.GrantTransport(self)
+        self._plan_transport = fleetplans.PlanTransport(self)
         self._store_transport = fleetstore.StoreTransport(self)
 
     def _add_host(self, host_id, service):
@@ -258,9 +264,21 @@
             agent.next_wake is not None and agent.next_wake <= self.now
         )
         if agent.next_wake is None or is_wake_due or len(agent.inbox):
-            ticks.tick(agent, self.now)
+            try:
+                ticks.tick(agent, self.now)
+            except errors.SystemFailedError as error:
+                self._end_failed_agent(host_id, error)
+                return
             self._process_outbox(host_id, agent)
 
+    def _end_failed_agent(self, host_id, error):
+        """End an agent whose tick has raised, and start it again later."""
+        if self.restart_ms is None:
+            raise error
+        self.failures.append((host_id, error.system))
+        self.stop(host_id)
+        self.schedule(self.restart_ms, self.start, host_id)
+
     def _process_outbox(self, host_id, agent):
         outbox = agent.outbox
         self._store_transport.process_outbox(host_id, outbox)
@@ -273,7 +291,7 @@
                     datagram.message,
                 )
         self.grants.process_outbox(host_id, outbox)
-        self._send_plans(host_id, outbox)
+        self._plan_transport.process_outbox(host_id, outbox)
         self._request_transport.process_outbox(host_id, outbox)
         if outbox.take(processmsg.Stopped) and host_id not in self.stopped_at:
             self.stopped_at[host_id] = self.now
@@ -290,30 +308,6 @@
             )
             self.stop(host_id)
 
-    def _send_plans(self, host_id, outbox):
-        messages_to_send = [
-            (command, planmsg.PlanTold(command.plan, command.row_version))
-            for command in outbox.take(planmsg.SendPlan)
-        ]
-        messages_to_send += [
-            (
-                command,
-                planmsg.PlanChangeTold(command.change, command.row_version),
-            )
-            for command in outbox.take(planmsg.SendPlanChange)
-        ]
-        for command, message in messages_to_send:
-            self.sent_plans.append(command)
-            if self.plans_to_lose:
-                self.plans_to_lose -= 1
-            elif not self.is_partitioned(host_id, command.host_id):
-                self.schedule(
-                    fleetconfig.NETWORK_DELAY_MS,
-                    self.post,
-                    command.host_id,
-                    message,
-                )
-
 
 def deployment(
     divided=4,
--- a/laburnumlatch/mesh/agentstate.py
+++ b/laburnumlatch/mesh/agentstate.py
@@ -63,7 +63,8 @@
       `received_handovers`: tokens that the former owners have sent, by
       first key, last key and fence.
     - `lease_holders`: what the planner knows about hosts, by host ID;
-      `bucket_loads`: the load of buckets of keys, by service.
+      `bucket_loads`: the load of buckets of keys, by service;
+      `plan_faults`: `leaserows.PlanFault` by service or host and step.
     - `evacuations`: `rows.Evacuation` by failure domain, as the operator
       asks for them; `evacuations_version` is the version of the store up to
       which they are known, `evacuation_progress` what the last log line about
@@ -123,6 +124,7 @@
     received_handovers: tables.Table = attrs.Factory(tables.Table)
     lease_holders: tables.Table = attrs.Factory(tables.Table)
     bucket_loads: tables.Table = attrs.Factory(tables.Table)
+    plan_faults: tables.Table = attrs.Factory(tables.Table)
     evacuations: tables.Table = attrs.Factory(tables.Table)
     counters: tables.Table = attrs.Factory(tables.Table)
     latencies: tables.Table = attrs.Factory(tables.Table)
--- a/laburnumlatch/mesh/exposition.py
+++ b/laburnumlatch/mesh/exposition.py
@@ -43,7 +43,10 @@
     'request.',
     'balance_rounds': 'Searches of the planner for keys to move.',
     'internal_faults': 'Outgoing messages that could not be carried out, by '
-    'class, and callbacks of the loop that have raised.',
+    'class, callbacks of the loop that have raised, and runs of systems that '
+    'only report.',
+    'plan_faults': 'Steps of planning that have raised, for a service or the '
+    'report of a host.',
     'store_calls': 'Responses of the store by the part that made the call.',
     'grants': 'Grants to the backend server by outcome.',
     'keys_received': 'Keys granted to this host for the first time.',
--- a/laburnumlatch/mesh/leaserows.py
+++ b/laburnumlatch/mesh/leaserows.py
@@ -52,6 +52,8 @@
     takes the role, `taking_term` is the term. `has_store` is whether the last
     call got a response. `is_retaking` is whether this agent has given up its
     term because the store was restored, and is about to take the next one.
+    This agent follows the present holder since `followed_at`, 0 if it does not,
+    and does not take the role before `yields_until`.
 
     The fields after `is_held` are valid only while this agent holds the role.
     `is_first` is whether nobody held it before. `taken_at` is when this agent
@@ -59,7 +61,8 @@
     A majority of the hosts has certainly sent renewals after
     `majority_contact`; `majority_since` is when the first such majority was
     counted. `has_plans` is whether the plans were read since the role was
-    taken.
+    taken. `may_give_up` is whether this agent may give the role up if it can
+    plan nothing.
     """
 
     holder: str = ''
@@ -69,6 +72,8 @@
     row_seen_at: int = 0
     taking_term: int = 0
     is_retaking: bool = False
+    followed_at: int = 0
+    yields_until: int = 0
     is_held: bool = False
     is_first: bool = False
     taken_at: int = 0
@@ -79,6 +84,7 @@
     sent_at: int = 0
     has_store: bool = True
     has_plans: bool = False
+    may_give_up: bool = False
 
 
 @attrs.define
@@ -253,6 +259,25 @@
         return self.start <= key <= self.end
 
 
+@records.define
+class PlanFault:
+    """A step of planning that raises, for one service or host, the `entity`.
+
+    It has raised `count` times since `since`, at last with `detail` at
+    `place`, on the `figures` that hosts had reported. It is tried again at
+    `retry_at`, or as soon as they report others.
+    """
+
+    entity: str
+    step: str
+    since: int
+    count: int = 0
+    retry_at: int = 0
+    place: str = ''
+    detail: str = ''
+    figures: tuple = ()
+
+
 @records.define
 class Handover:
     """The handover token of a released range, kept until `expires`.
--- a/laburnumlatch/mesh/planner.py
+++ b/laburnumlatch/mesh/planner.py
@@ -1,9 +1,12 @@
 """System: assigns keys to hosts and writes the plans, as the role holder.
 
 For each service divided by key it drafts the next plan and writes it to the
-store.
+store. An error while one service is planned costs that service this round
+(see `planfaults`).
 """
 
+import functools
+
 from laburnumlatch.core import logs
 from laburnumlatch.core import storemsg
 from laburnumlatch.core import versions
@@ -14,6 +17,7 @@
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import plandraft
 from laburnumlatch.mesh import planepochs
+from laburnumlatch.mesh import planfaults
 from laburnumlatch.mesh import planwrites
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import role
@@ -48,7 +52,12 @@
     _read_plans_if_uncertain(agent, now)
     if agent.due('planner/plan', PLAN_INTERVAL_MS, now):
         for holder in agent.lease_holders:
-            _count_reported_load(agent, holder, now)
+            planfaults.attempt(
+                agent,
+                'report',
+                holder.host_id,
+                functools.partial(_count_reported_load, agent, holder, now),
+            )
         _write_next_plan(agent, now)
 
 
@@ -133,12 +142,18 @@
     may_write = may_write and not len(agent.plan_writes)
     if not may_write or not role.may_lease(planner_role, now):
         return
-    for service in _divided_services(agent):
-        plan = _next_plan(agent, service, now)
-        if plan is not None:
-            agent.timers.put(f'{WRITTEN_TIMER}{service}', now)
-            write_plan(agent, plan)
+    services = _divided_services(agent)
+    for service in services:
+        has_written = planfaults.attempt(
+            agent,
+            planfaults.PLAN_STEP,
+            service,
+            functools.partial(_plan, agent, service, now),
+        )
+        if has_written:
             return
+    if planfaults.can_plan_nothing(agent, services):
+        role.give_up_if_steady(agent, now)
 
 
 def _divided_services(agent):
@@ -154,21 +169,29 @@
     )
 
 
+def _plan(agent, service, now):
+    """Write the next plan of a service, if any; return whether it did."""
+    plan = _next_plan(agent, service, now)
+    if plan is None:
+        return False
+    write_plan(agent, plan)
+    agent.timers.put(f'{WRITTEN_TIMER}{service}', now)
+    return True
+
+
 def write_plan(agent, plan):
     """Write the next plan of a service to the store, as the role holder."""
     row = agent.plans.get(plan.service)
-    ticket = f'{TICKET}{agent.next_ticket()}'
-    agent.plan_writes.put(ticket, leaserows.PlanWrite(plan))
-    agent.outbox.post(
-        storemsg.StorePut(
-            ticket,
-            f'{members.PLAN_PREFIX}{plan.service}',
-            # A row of the store holds 64 KB: about 500 pieces uncompressed.
-            wire.pack_compressed(plan),
-            0 if row is None else row.row_version,
-            ((role.ROW, agent.role.row_version),),
-        )
+    put = storemsg.StorePut(
+        f'{TICKET}{agent.next_ticket()}',
+        f'{members.PLAN_PREFIX}{plan.service}',
+        # A row of the store holds 64 KB: about 500 pieces uncompressed.
+        wire.pack_compressed(plan),
+        0 if row is None else row.row_version,
+        ((role.ROW, agent.role.row_version),),
     )
+    agent.plan_writes.put(put.ticket, leaserows.PlanWrite(plan))
+    agent.outbox.post(put)
 
 
 def _next_plan(agent, service, now):
@@ -190,18 +213,28 @@
         return ranges.Plan(service, first, ranges.divide_equally(owners, first))
     if not candidates:
         return None
-    version = plan.version + 1
+    pieces = _next_pieces(agent, plan, candidates, now)
+    if pieces == plan.pieces:
+        return None
+    return ranges.Plan(service, plan.version + 1, pieces)
+
+
+def _next_pieces(agent, plan, candidates, now):
+    """Return the pieces of the next plan of a service.
+
+    Neither a failed evacuation nor a failed search for moves keeps lost owners
+    from being replaced.
+    """
+    service = plan.service
     draft = plandraft.PlanDraft(agent, service, candidates, now)
     pieces = tuple(draft.with_usable_owner(piece) for piece in plan.pieces)
-    pieces = draft.evacuate(
-        pieces, PLAN_INTERVAL_MS * len(_divided_services(agent))
-    )
+    interval_ms = PLAN_INTERVAL_MS * len(_divided_services(agent))
+    evacuate = functools.partial(draft.evacuate, pieces, interval_ms)
+    pieces = planfaults.attempt(agent, 'evacuate', service, evacuate, pieces)
     if agent.due(f'planner/balance/{service}', BALANCE_INTERVAL_MS, now):
-        pieces = draft.balance(pieces)
-    pieces = ranges.join(pieces)
-    if pieces == plan.pieces:
-        return None
-    return ranges.Plan(service, version, pieces)
+        balance = functools.partial(draft.balance, pieces)
+        pieces = planfaults.attempt(agent, 'balance', service, balance, pieces)
+    return ranges.join(pieces)
 
 
 def _is_first_plan_due(agent, candidates, now):
@@ -235,7 +268,12 @@
         for holder in sorted(agent.lease_holders, key=lambda host: host.host_id)
         if holder.service == service and _can_own_keys(agent, holder, now)
     ]
-    return coldcapacity.limit(agent, service, candidates, now)
+    limit = functools.partial(
+        coldcapacity.limit, agent, service, candidates, now
+    )
+    return planfaults.attempt(
+        agent, 'cold-capacity', service, limit, candidates
+    )
 
 
 def _can_own_keys(agent, holder, now):
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -45,6 +45,11 @@
 # of the hosts is still in contact with it.
 MAX_OUTAGE_MS = 12_000
 MAJORITY_TIMEOUT_MS = 1500
+# A planner gives the role up only if the one before it held the role for this
+# time: otherwise a fault that every planner meets would pass it round.
+STEADY_HOLD_MS = 300_000
+# An agent that has given the role up takes it only if no other has done so.
+YIELD_MS = 30_000
 
 _log = logs.logger('role')
 
@@ -110,12 +115,23 @@
     role.holder = holder
     role.address = address
     role.term = term
+    role.followed_at = now
     agent.lease.planner_contact_at = now
     agent.lease.issued_at = 0
     agent.lease.planner_has_store = True
     return True
 
 
+def give_up_if_steady(agent, now):
+    """Give the role up to another agent, unless it has just changed hands."""
+    role = agent.role
+    if not role.may_give_up:
+        return
+    _log.warning('planner-role-given-up', term=role.term)
+    _step_down(agent)
+    role.yields_until = now + YIELD_MS
+
+
 def _give_up_term(agent, now):
     """Give up a term from before the store was restored; take the next one.
 
@@ -230,6 +246,8 @@
     """Start a new term as planner and announce it to all hosts."""
     role = agent.role
     role.is_first = not role.row_version and not role.term
+    role.may_give_up = role.is_first or _was_followed_for_long(role, now)
+    role.followed_at = 0
     role.holder = agent.host_id
     role.address = agent.settings.peer_address
     role.term = role.taking_term
@@ -242,6 +260,7 @@
     agent.plan_writes.clear()
     agent.lease_holders.clear()
     agent.bucket_loads.clear()
+    agent.plan_faults.clear()
     _log.info('planner-role-taken', term=role.term)
     announcement = leasemsg.PlannerIs(role.holder, role.address, role.term)
     for host in members.live_hosts(agent):
@@ -251,11 +270,16 @@
             )
 
 
+def _was_followed_for_long(role, now):
+    return role.followed_at > 0 and now >= role.followed_at + STEADY_HOLD_MS
+
+
 def _step_down(agent):
     agent.role.is_held = False
     agent.plan_writes.clear()
     agent.role.pending = ''
     agent.lease_holders.clear()
+    agent.plan_faults.clear()
 
 
 def _watch_holder(agent, now):
@@ -274,7 +298,7 @@
         return
     if agent.role.pending:
         return
-    if _is_row_stale(agent, now):
+    if _is_row_stale(agent, now) and now >= agent.role.yields_until:
         _try_to_take(agent, now)
     elif agent.due(READ_TICKET, READ_INTERVAL_MS, now):
         _read_row(agent, now)
@@ -290,10 +314,15 @@
 
 
 def _try_to_take(agent, now):
-    """Write this host into the row, unless it stops or a call is in flight."""
+    """Write this host into the row, unless it stops or a call is in flight.
+
+    Nor does it if it has just given the role up.
+    """
     role = agent.role
     if agent.stopping_since is not None or role.pending:
         return
+    if now < role.yields_until:
+        return
     role.taking_term = versions.following(role.term, agent.current_epoch)
     _write_row(agent, TAKE_TICKET, role.taking_term, now)
 
--- /dev/null
+++ b/laburnumlatch/mesh/systemruns.py
@@ -0,0 +1,29 @@
+"""Runs one system of an agent; what an error in it gives up."""
+
+from laburnumlatch.core import errors
+from laburnumlatch.core import logs
+from laburnumlatch.core import tracebacks
+from laburnumlatch.mesh import counting
+
+# Systems that only count and report: an error costs them that one run. In any
+# other it ends the process, as that system may have posted messages or changed
+# rows half-way.
+REPORTING_SYSTEMS = frozenset(('counting', 'progress'))
+
+_log = logs.logger('ticks')
+
+
+def run(agent, name, run_system, now):
+    """Run the system `name`, a function of the agent and the time.
+
+    Raises `errors.SystemFailedError` if it raises and does more than to report.
+    """
+    try:
+        run_system(agent, now)
+    except Exception as error:
+        if name not in REPORTING_SYSTEMS:
+            raise errors.SystemFailedError(name) from error
+        counting.count(agent, 'internal_faults', kind=name)
+        _log.error(
+            'system-run-failed', system=name, **tracebacks.describe(error)
+        )
--- a/laburnumlatch/mesh/ticks.py
+++ b/laburnumlatch/mesh/ticks.py
@@ -5,7 +5,6 @@
 outbox.
 """
 
-from laburnumlatch.core import errors
 from laburnumlatch.mesh import admission
 from laburnumlatch.mesh import configuring
 from laburnumlatch.mesh import counting
@@ -25,6 +24,7 @@
 from laburnumlatch.mesh import role
 from laburnumlatch.mesh import silence
 from laburnumlatch.mesh import storeepochs
+from laburnumlatch.mesh import systemruns
 from laburnumlatch.mesh import throttling
 from laburnumlatch.mesh.evacuation import progress
 from laburnumlatch.mesh.overload import displacement
@@ -63,8 +63,7 @@
     leaving,
 )
 
-
-_NAMED_SYSTEMS = tuple(
+NAMED_SYSTEMS = tuple(
     (system.__name__.rpartition('.')[2], system.run) for system in SYSTEMS
 )
 
@@ -73,13 +72,11 @@
     """Run every system once at `now`, in ms of the agent's clock.
 
     `on_system_run`, if given, is called with the name of each system after
-    it has run. Raises `errors.SystemFailedError` if one raises.
+    it has run. Raises `errors.SystemFailedError` if one raises that does more
+    than to report.
     """
     agent.begin_tick(now)
-    for name, run in _NAMED_SYSTEMS:
-        try:
-            run(agent, now)
-        except Exception as error:
-            raise errors.SystemFailedError(name) from error
+    for name, run in NAMED_SYSTEMS:
+        systemruns.run(agent, name, run, now)
         if on_system_run is not None:
             on_system_run(name)
--- a/laburnumlatch/operators/report.py
+++ b/laburnumlatch/operators/report.py
@@ -72,6 +72,7 @@
         'configuration': _configuration(state),
         'planner': state.planner,
         'plans': [_plan_summary(plan) for plan in state.plans],
+        'plan_faults': [_plan_fault(fault) for fault in state.plan_faults],
         'hosts': hosts(state),
         'evacuations': _evacuations(state),
     }
@@ -129,6 +130,11 @@
             f'plan of {plan["service"]} version {plan["version"]}: '
             f'{plan["moving"]} keys move; keys by owner: {owners}',
         )
+    lines.extend(
+        f'not planned: {fault["step"]} of {fault["entity"]} has failed '
+        f'{fault["failures"]} times: {fault["detail"]} at {fault["place"]}'
+        for fault in document['plan_faults']
+    )
     for host in document['hosts']:
         lines.append(
             f'{host["host"]} {host["state"]}: {host["service"]} in '
@@ -215,6 +221,17 @@
     }
 
 
+def _plan_fault(fault):
+    """Return a dict of a `leaserows.PlanFault`."""
+    return {
+        'entity': fault.entity,
+        'step': fault.step,
+        'failures': fault.count,
+        'detail': fault.detail,
+        'place': fault.place,
+    }
+
+
 def _evacuations(state):
     """Return the evacuated domains, and what has yet to leave their hosts.
 
--- a/laburnumlatch/operators/state.py
+++ b/laburnumlatch/operators/state.py
@@ -21,7 +21,8 @@
     is empty for an agent, which reads only the configuration in force.
     `evacuated` are the failure domains that the operator has evacuated, and
     `requests_left` is how many requests have yet to leave the agent's host for
-    that reason, None for the store.
+    that reason, None for the store. `plan_faults` are the steps of planning
+    that fail at the planner, empty for the store and for other agents.
     """
 
     in_force: routes.Configuration | None = None
@@ -31,6 +32,7 @@
     planner: str = ''
     evacuated: tuple[str, ...] = ()
     requests_left: int | None = None
+    plan_faults: tuple[leaserows.PlanFault, ...] = ()
 
 
 def from_agent(agent):
@@ -42,6 +44,7 @@
         planner=agent.role.holder,
         evacuated=tuple(progress.effective_domains(agent)),
         requests_left=progress.remaining(agent).requests,
+        plan_faults=tuple(agent.plan_faults),
     )
 
 
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -121,7 +121,7 @@
         had raised.
         """
         systems = (('planner', lambda _agent, _now: ranges.divide_equally([])),)
-        monkeypatch.setattr(ticks, '_NAMED_SYSTEMS', systems)
+        monkeypatch.setattr(ticks, 'NAMED_SYSTEMS', systems)
         with logbook.TestHandler() as handler:
             running = _create_engine(ticks.tick)
             running.wake()
@@ -144,7 +144,7 @@
         path = tmp_path / 'settings.toml'
         path.write_text(SETTINGS.format(ip_text=f'{network}.1'))
         systems = (('intake', FAILING),)
-        monkeypatch.setattr(ticks, '_NAMED_SYSTEMS', systems)
+        monkeypatch.setattr(ticks, 'NAMED_SYSTEMS', systems)
         with pytest.raises(errors.SystemFailedError, match='intake'):
             runner.run(str(path))
         reservation.close()
