Look up no part of a path that is longer than every prefix

Parts of a path beyond the longest prefix of the configuration can select no route, so the search begins there: at most as many lookups as that prefix has characters.

--- a/laburnumlatch/mesh/routes.py
+++ b/laburnumlatch/mesh/routes.py
@@ -97,15 +97,17 @@
     _by_place: dict[tuple[str, str], Route] = attrs.field(
         init=False, repr=False, eq=False
     )
+    _longest_prefix: int = attrs.field(init=False, repr=False, eq=False)
 
     def match(self, host, path):
         """Return the route with the longest matching prefix, or None.
 
         `host` may include a port. All prefixes end with a slash, so only
-        parts of `path` up to a slash are looked up.
+        parts of `path` up to a slash are looked up, and none that is longer
+        than every prefix.
         """
         name = host.partition(':')[0].lower()
-        end = path.rfind('/') + 1
+        end = path.rfind('/', 0, self._longest_prefix) + 1
         while end > 0:
             route = self._by_place.get((name, path[:end]))
             if route is not None:
@@ -116,3 +118,7 @@
     @_by_place.default
     def _index_routes(self):
         return {(route.host, route.prefix): route for route in self.routes}
+
+    @_longest_prefix.default
+    def _measure_prefixes(self):
+        return max((len(route.prefix) for route in self.routes), default=0)
