--- a/laburnumlatch/experiments/planbench.py
+++ b/laburnumlatch/experiments/planbench.py
@@ -17,9 +17,7 @@
         for piece in _plan(size).pieces
     ]
     pieces = _plan(size).pieces
-    rates = {
-        bucket: 1 / (1 + bucket) for bucket in range(balancing.BUCKET_COUNT)
-    }
+    rates = {bucket: 1 / (1 + bucket) for bucket in range(ranges.BUCKET_COUNT)}
     return timing.time_us(
         lambda: balancing.find_moves(pieces, rates, candidates), 1
     )
--- a/laburnumlatch/mesh/admission.py
+++ b/laburnumlatch/mesh/admission.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from laburnumlatch.mesh import balancing
 from laburnumlatch.mesh import decisions
 from laburnumlatch.mesh import leaving
 from laburnumlatch.mesh import messages
+from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import requests
 from laburnumlatch.mesh import rows
 from laburnumlatch.mesh import throttling
@@ -66,7 +66,7 @@
 def enqueue(agent, request, now):
     """Queue a request for the local backend server, or return a `Rejection`."""
     if request.head.key is not None:
-        agent.load_report.buckets[balancing.bucket_of(request.head.key)] += 1
+        agent.load_report.buckets[ranges.bucket_of(request.head.key)] += 1
     rejection = general_rejection(agent, now)
     if rejection is not None:
         return rejection
--- a/laburnumlatch/mesh/balancing.py
+++ b/laburnumlatch/mesh/balancing.py
@@ -7,13 +7,11 @@
 import enum
 import math
 
-import attrs
-
 from laburnumlatch.core import records
+from laburnumlatch.mesh import movableranges
 from laburnumlatch.mesh import ranges
 from laburnumlatch.mesh import ranking
 
-BUCKET_COUNT = ranges.KEY_COUNT // ranges.KEYS_PER_BUCKET
 # Relative load at which keys begin to move away from a host, and at which they
 # stop. The gap keeps noise from moving keys.
 START_RATIO = 1.2
@@ -31,13 +29,8 @@
 # A bucket that is too hot for its host moves only to a host that is faster by
 # this factor. Speeds are estimates, and a bucket is not served while it moves.
 MIN_SPEEDUP_RATIO = 2
-# Requests per second added to each bucket: one without any may become busy.
-IDLE_RATE = 0.0002
 # Lower bound that avoids a division by zero for a service without load.
 MIN_RATE = 1e-9
-# A range may move if its load is between these multiples of the wanted load.
-MAX_WANTED_RATIO = 1.1
-MIN_WANTED_RATIO = 0.1
 
 
 @records.define(frozen=True)
@@ -97,15 +90,10 @@
     moves: tuple[Move, ...] = ()
 
 
-def bucket_of(key):
-    """Return the bucket of a key."""
-    return key // ranges.KEYS_PER_BUCKET
-
-
 def load_of(piece, rates):
     """Return the load of a piece in requests per second, from bucket rates."""
-    first = bucket_of(piece.start)
-    last = bucket_of(piece.end)
+    first = ranges.bucket_of(piece.start)
+    last = ranges.bucket_of(piece.end)
     size = last + 1 - first
     if len(rates) < size:
         # Most buckets have no rate, and the planner asks several times a
@@ -113,7 +101,7 @@
         busy = sum(rates[bucket] for bucket in rates if first <= bucket <= last)
     else:
         busy = sum(rates.get(bucket, 0) for bucket in range(first, last + 1))
-    return busy + size * IDLE_RATE
+    return busy + size * movableranges.IDLE_RATE
 
 
 def relative_load_by_host(pieces, rates, candidates):
@@ -151,19 +139,6 @@
     return SearchResult(Outcome.LIMITED, *state.busiest(), tuple(moves))
 
 
-@attrs.define(frozen=True, order=True)
-class _Range:
-    """A range of keys that could move; `deviation` is from the wanted load.
-
-    It is the first field, so that the least range is the one that fits best.
-    """
-
-    deviation: float
-    start: int
-    end: int
-    load: float
-
-
 def _load_of_range(movable):
     return movable.load
 
@@ -189,7 +164,9 @@
         capacity = sum(self._capacity.values())
         self._mean = max(sum(self._loads.values()) / capacity, MIN_RATE)
         max_pieces = MAX_PIECES_PER_HOST * len(candidates)
-        self._is_split_forbidden = len(pieces) >= max_pieces
+        self._movable = movableranges.MovableRanges(
+            rates, is_split_forbidden=len(pieces) >= max_pieces
+        )
         self._hottest_by_host = {}
         self._relieved = set()
         self._outcomes = {Outcome.EVEN}
@@ -247,7 +224,7 @@
         fitting = [
             movable
             for keys in self._ranges[source]
-            for movable in self._fitting_ranges(keys, wanted)
+            for movable in self._movable.fitting(keys, wanted)
         ]
         if not fitting:
             return self._move_second_hottest_bucket(source, target)
@@ -317,94 +294,12 @@
             movables = [
                 movable
                 for keys in self._ranges[host_id]
-                for movable in self._movable_ranges(keys)
+                for movable in self._movable.all_of(keys)
             ]
             movables.sort(key=_load_of_range, reverse=True)
             self._hottest_by_host[host_id] = movables
         return self._hottest_by_host[host_id]
 
-    def _movable_ranges(self, keys):
-        """Return buckets with requests, or the range if it may not be split."""
-        buckets = range(bucket_of(keys[0]), bucket_of(keys[1]) + 1)
-        if self._is_split_forbidden:
-            return [
-                _Range(0, *keys, sum(self._rate(bucket) for bucket in buckets))
-            ]
-        return [
-            self._range_of_bucket(bucket, keys)
-            for bucket in buckets
-            if bucket in self._rates
-        ]
-
-    def _range_of_bucket(self, bucket, keys, wanted=0):
-        """Return the intersection of a bucket and a range."""
-        start = max(bucket * ranges.KEYS_PER_BUCKET, keys[0])
-        end = min((bucket + 1) * ranges.KEYS_PER_BUCKET - 1, keys[1])
-        rate = self._rate(bucket)
-        return _Range(abs(wanted - rate), start, end, rate)
-
-    def _fitting_ranges(self, keys, wanted):
-        """Return subranges of a range with a load close to `wanted`.
-
-        These are a part at its start and one at its end, or else one bucket.
-        If pieces may not be split any more, only the whole range may fit.
-        """
-        buckets = range(bucket_of(keys[0]), bucket_of(keys[1]) + 1)
-        if self._is_split_forbidden:
-            return self._whole_range(keys, buckets, wanted)
-        fitting = []
-        first, load = self._accumulate(buckets, wanted)
-        if first is not None:
-            end = min((first + 1) * ranges.KEYS_PER_BUCKET - 1, keys[1])
-            fitting.append(_Range(abs(wanted - load), keys[0], end, load))
-        last, load = self._accumulate(reversed(buckets), wanted)
-        if last is not None:
-            start = max(last * ranges.KEYS_PER_BUCKET, keys[0])
-            fitting.append(_Range(abs(wanted - load), start, keys[1], load))
-        return fitting or self._hottest_fitting_bucket(keys, buckets, wanted)
-
-    def _whole_range(self, keys, buckets, wanted):
-        """Return a list of the whole range, empty if its load does not fit."""
-        load = sum(self._rate(bucket) for bucket in buckets)
-        if not MIN_WANTED_RATIO * wanted <= load <= MAX_WANTED_RATIO * wanted:
-            return []
-        return [_Range(abs(wanted - load), *keys, load)]
-
-    def _accumulate(self, buckets, wanted):
-        """Add up the load of buckets in order until `wanted` is reached.
-
-        The load is at most `wanted * MAX_WANTED_RATIO`. Returns the last bucket
-        added, or None if the load is too low to be worth a move, and the load.
-        """
-        load = 0
-        last = None
-        for bucket in buckets:
-            rate = self._rate(bucket)
-            if load + rate > wanted * MAX_WANTED_RATIO:
-                break
-            load += rate
-            last = bucket
-        if load < wanted * MIN_WANTED_RATIO:
-            last = None
-        return last, load
-
-    def _hottest_fitting_bucket(self, keys, buckets, wanted):
-        """Return a list of the hottest bucket that fits, empty if none does."""
-        rates = [
-            (self._rate(bucket), bucket)
-            for bucket in buckets
-            if self._rate(bucket) <= wanted * MAX_WANTED_RATIO
-        ]
-        if not rates:
-            return []
-        rate, bucket = max(rates)
-        if rate < wanted * MIN_WANTED_RATIO:
-            return []
-        return [self._range_of_bucket(bucket, keys, wanted)]
-
-    def _rate(self, bucket):
-        return self._rates.get(bucket, 0) + IDLE_RATE
-
     def _apply_move(self, source, target, moved):
         """Return the move of a range and update the state for it.
 
--- a/laburnumlatch/mesh/evacuation/keymoves.py
+++ b/laburnumlatch/mesh/evacuation/keymoves.py
@@ -8,6 +8,7 @@
 import attrs
 
 from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import movableranges
 from laburnumlatch.mesh import ranges
 
 # The last step is due after this share of the bound. Running work delays a
@@ -92,10 +93,10 @@
     start = piece.start
     if max_load is not None:
         load = 0
-        first = balancing.bucket_of(start)
-        last = balancing.bucket_of(piece.end)
+        first = ranges.bucket_of(start)
+        last = ranges.bucket_of(piece.end)
         for bucket in range(first, last + 1):
-            rate = rates.get(bucket, 0) + balancing.IDLE_RATE
+            rate = rates.get(bucket, 0) + movableranges.IDLE_RATE
             cut = max(start, bucket * ranges.KEYS_PER_BUCKET)
             if load + rate > max_load and cut > start:
                 yield start, cut - 1
--- a/laburnumlatch/mesh/ranges.py
+++ b/laburnumlatch/mesh/ranges.py
@@ -15,6 +15,7 @@
 KEY_COUNT = 65_536
 # Requests are counted and load is moved in buckets of adjacent keys.
 KEYS_PER_BUCKET = 16
+BUCKET_COUNT = KEY_COUNT // KEYS_PER_BUCKET
 _start_key = operator.attrgetter('start')
 
 
@@ -159,6 +160,16 @@
     return tuple(result)
 
 
+def bucket_of(key):
+    """Return the bucket of a key."""
+    return key // KEYS_PER_BUCKET
+
+
+def buckets_of(start, end):
+    """Return the buckets of keys `start` to `end`, both inclusive."""
+    return range(bucket_of(start), bucket_of(end) + 1)
+
+
 def divide_equally(owners, first_fence=1):
     """Return pieces of equal width, one for each (host_id, life) of `owners`.
 
--- a/tests/test_mesh_balancing.py
+++ b/tests/test_mesh_balancing.py
@@ -10,6 +10,7 @@
 from laburnumlatch.experiments import fleetload
 from laburnumlatch.experiments import fleetsim
 from laburnumlatch.mesh import balancing
+from laburnumlatch.mesh import movableranges
 from laburnumlatch.mesh import ranges
 
 # The users' goals for the highest relative load: on a calm day, and 5 s after
@@ -44,12 +45,10 @@
 
 def skewed_rates(count, seed):
     """Return requests per second by bucket; busy keys are adjacent."""
-    first = random.Random(seed).randrange(balancing.BUCKET_COUNT)
+    first = random.Random(seed).randrange(ranges.BUCKET_COUNT)
     weights = {}
     for place in range(ranges.KEY_COUNT):
-        bucket = (
-            first + place // ranges.KEYS_PER_BUCKET
-        ) % balancing.BUCKET_COUNT
+        bucket = (first + place // ranges.KEYS_PER_BUCKET) % ranges.BUCKET_COUNT
         weights[bucket] = weights.get(bucket, 0) + (1 + place) ** -KEY_SKEW
     total = sum(weights.values())
     return {
@@ -172,7 +171,7 @@
                 bucket * 31 % 5000,
                 f'sidecar-kaneshie-{bucket * 11 % 300}' * (bucket % 8 == 0),
             )
-            for bucket in range(balancing.BUCKET_COUNT)
+            for bucket in range(ranges.BUCKET_COUNT)
         )
         plan = ranges.Plan('dealer-credits', 1, pieces)
         body = wire.pack_compressed(plan)
@@ -292,7 +291,7 @@
         many = dict.fromkeys(range(100), 0.5)
         for rates in ({}, few, many):
             expected = sum(
-                rates.get(bucket, 0) + balancing.IDLE_RATE
+                rates.get(bucket, 0) + movableranges.IDLE_RATE
                 for bucket in range(10, 20)
             )
             assert balancing.load_of(piece, rates) == pytest.approx(expected)
--- a/tests/test_mesh_ranges.py
+++ b/tests/test_mesh_ranges.py
@@ -29,7 +29,7 @@
     """Return loads by bucket as on a calm day; busy keys are adjacent."""
     return {
         bucket: 60 / (1 + abs(bucket - 700)) ** 0.8
-        for bucket in range(balancing.BUCKET_COUNT)
+        for bucket in range(ranges.BUCKET_COUNT)
     }
 
 
@@ -108,7 +108,7 @@
             (host.host_id, host.life) for host in hosts
         ])
         for centre in (200, 3000):
-            loads = dict.fromkeys(range(balancing.BUCKET_COUNT), 0.02)
+            loads = dict.fromkeys(range(ranges.BUCKET_COUNT), 0.02)
             loads.update(dict.fromkeys(range(centre, centre + 13), 3.0))
             for _ in range(5):
                 pieces = apply_moves(
@@ -125,7 +125,7 @@
         pieces = ranges.divide_equally([
             (host.host_id, host.life) for host in hosts
         ])
-        loads = dict.fromkeys(range(balancing.BUCKET_COUNT), 0.05)
+        loads = dict.fromkeys(range(ranges.BUCKET_COUNT), 0.05)
         for _ in range(4):
             pieces = apply_moves(
                 pieces, balancing.find_moves(pieces, loads, hosts).moves
@@ -139,5 +139,5 @@
         pieces = ranges.divide_equally([
             (host.host_id, host.life) for host in hosts
         ])
-        loads = dict.fromkeys(range(balancing.BUCKET_COUNT), 0.05)
+        loads = dict.fromkeys(range(ranges.BUCKET_COUNT), 0.05)
         assert not balancing.find_moves(pieces, loads, hosts).moves
