--- a/laburnumlatch/experiments/fleetsim.py
+++ b/laburnumlatch/experiments/fleetsim.py
@@ -72,16 +72,10 @@
         self.backends = {}
         self.partitioned_hosts = set()
         self.paused = set()
-        self.violations = []
-        self.early_grants = []
-        self.low_fences = []
-        self.fenced_ranges = set()
         self.stopped_at = {}
-        self.interrupted_requests = []
         self.plans_to_lose = 0
         self.wall_offset_ms = 0
         self.restart_ms = None
-        self.failures = []
         self.sent_plans = []
         self.link_ms_per_kb = 0
         self.outcomes = {}
@@ -90,7 +84,7 @@
         self.policies = policies or {}
         self.host_settings = host_settings or {}
         self.domains = {}
-        self._create_transports()
+        self._create_parts()
         self._events = []
         self._sequence = itertools.count()
         self.request_numbers = itertools.count(1)
@@ -231,11 +225,18 @@
             first in self.partitioned_hosts or second in self.partitioned_hosts
         )
 
-    def _create_transports(self):
+    def _create_parts(self):
+        """Create the transports, and empty records of what goes wrong."""
         self._request_transport = fleetwork.RequestTransport(self)
         self.grants = fleetgrants.GrantTransport(self)
         self._plan_transport = fleetplans.PlanTransport(self)
         self._store_transport = fleetstore.StoreTransport(self)
+        self.violations = []
+        self.early_grants = []
+        self.low_fences = []
+        self.fenced_ranges = set()
+        self.interrupted_requests = []
+        self.failures = []
 
     def _add_host(self, host_id, service):
         self.backends[host_id] = fleetbackend.Backend(self, host_id, service)
--- a/laburnumlatch/mesh/role.py
+++ b/laburnumlatch/mesh/role.py
@@ -15,6 +15,7 @@
 from laburnumlatch.mesh import leaserows
 from laburnumlatch.mesh import members
 from laburnumlatch.mesh import plannercontact
+from laburnumlatch.mesh import takeover
 
 TABLE = 'roles/'
 ROW = 'roles/planner'
@@ -34,9 +35,6 @@
 # Agents read the row one after another once the planner is silent, so that
 # usually only one of them writes.
 STAGGER_MS = 60
-MAX_STAGGERS = 12
-# A planner that uses a whole core fills a link of this many Mbit/s.
-MBPS_PER_CORE = 50
 # For this time after a renewal the holder relies on having the role and issues
 # leases without the contact of a majority. An agent that takes the role allows
 # for leases that the former holder issues in this time.
@@ -289,7 +287,7 @@
     if plannercontact.follows_planner(agent, now):
         agent.wake_at(silent_at)
         return
-    stagger_ms = _takeover_rank(agent) * STAGGER_MS
+    stagger_ms = takeover.rank(agent) * STAGGER_MS
     due = silent_at + stagger_ms
     if not lease.planner_has_store:
         due = lease.planner_contact_at + stagger_ms
@@ -331,32 +329,3 @@
     agent.role.pending = READ_TICKET
     agent.role.sent_at = now
     agent.outbox.post(storemsg.StoreRead(READ_TICKET, TABLE))
-
-
-def _takeover_rank(agent):
-    """Return this host's place in the order in which agents read the row.
-
-    It is at most `MAX_STAGGERS`. Hosts with more capacity for planning come
-    first, and of equal ones those whose service is not divided by key.
-    """
-    hosts = sorted(
-        members.live_hosts(agent),
-        key=lambda host: (
-            -_planning_capacity(host.record),
-            agent.is_divided_host(host),
-            host.host_id,
-        ),
-    )
-    ids = [host.host_id for host in hosts[:MAX_STAGGERS]]
-    if agent.host_id not in ids:
-        return MAX_STAGGERS
-    return ids.index(agent.host_id)
-
-
-def _planning_capacity(record):
-    """Return how much planning work a host can take, in cores.
-
-    All hosts send their renewals to the planner, so a slow link limits it like
-    a slow core.
-    """
-    return min(record.cores, record.link_mbps / MBPS_PER_CORE)
